--- a/src/bin/stonedrift-drill.rs
+++ b/src/bin/linnetdeal-simhost.rs
@@ -5,10 +5,10 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match stonedrift::wire::run(io::stdin().lock(), BufWriter::new(io::stdout().lock())) {
+    match linnetdeal::wire::run(io::stdin().lock(), BufWriter::new(io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("stonedrift-drill: {error}");
+            eprintln!("linnetdeal-simhost: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,4 +1,4 @@
-//! Every decision of stonedrift. The types, events and actions stand in `interface.rs`.
+//! Every decision of linnetdeal. The types, events and actions stand in `interface.rs`.
 //!
 //! Map: tuned values; `Router::handle`; the list; placing; outcomes; evidence of role and position; the one
 //! notion of a *valid* member (`judge`, `load`, `suspect`, `room`); crowding; probes; the sweep.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! stonedrift: the decisions of a query router for sharded, replicated databases.
+//! linnetdeal: the decisions of a query router for sharded, replicated databases.
 //!
 //! [`Router`] is a pure state machine: the host feeds it [`Event`]s with the time at which they
 //! happened and carries out the [`Action`]s that it appends. It performs no I/O, reads no clock
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small host for the module's tests: plain settings, and a router with its clock.
 #![allow(dead_code)]
 
+use linnetdeal::*;
 use std::sync::Arc;
-use stonedrift::*;
 
 pub const READ: ClassId = ClassId(0);
 pub const ANY: ClassId = ClassId(1);
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
+use linnetdeal::*;
 use std::collections::BTreeMap;
-use stonedrift::*;
 
 #[test]
 fn idle_reads_spread_over_all_members() {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -2,10 +2,10 @@
 
 mod common;
 use common::*;
+use linnetdeal::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
-use stonedrift::*;
 
 #[derive(Clone, Debug)]
 enum Step {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -13,7 +13,7 @@
 Rules.FallMultiple=3.0 Rules.Fall=2000.0 Unknown.Key=ignored";
 
 fn drill(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_stonedrift-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_linnetdeal-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
