--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,235 @@
+//! What the daemon is told: its configuration and the lists of discovery, decoded into plain types.
+//! Keys that mean nothing here are ignored.
+
+use crate::interface::*;
+use crate::settings::{Pairs, span};
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Why the configuration can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// The file can't be read.
+    #[error("configuration {path}: {error}")]
+    Read {
+        /// Its path.
+        path: String,
+        /// What went wrong.
+        error: std::io::Error,
+    },
+    /// It is not the JSON that was expected.
+    #[error("configuration: {0}")]
+    Json(#[from] serde_json::Error),
+    /// The settings lack something.
+    #[error("configuration: {0}")]
+    Settings(String),
+    /// The seed is no hexadecimal number.
+    #[error("configuration: seed '{0}' is no hexadecimal number")]
+    Seed(String),
+}
+
+/// The configuration of a pooler.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// The descriptors that the process may hold.
+    pub sockets: usize,
+    /// The list of servers as last held.
+    pub known: ServerList,
+    /// What the module is told.
+    pub settings: Settings,
+    /// What the sockets are told.
+    pub host: HostSettings,
+}
+
+/// The settings that concern the host rather than the decisions.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HostSettings {
+    /// A connection that is not up after this has failed.
+    pub dial_timeout: Duration,
+    /// Servers close connections idle for this.
+    pub keepalive: Duration,
+    /// The longest deadline of any class.
+    pub longest_deadline: Duration,
+    /// What load reports hold, by name.
+    pub report: Vec<(String, Field)>,
+}
+
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    #[serde(default)]
+    seed: Value,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    known: ServerList,
+    settings: Value,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    #[serde(default = "Limits::sockets")]
+    sockets: usize,
+}
+
+impl Limits {
+    fn sockets() -> usize {
+        1_024
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { sockets: Self::sockets() }
+    }
+}
+
+impl Config {
+    /// Reads the configuration at `path`.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be read or decoded.
+    pub fn load(path: &Path) -> Result<Self, ConfigError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| ConfigError::Read { path: path.display().to_string(), error })?;
+        Self::decode(&text)
+    }
+
+    /// Decodes a configuration.
+    ///
+    /// # Errors
+    ///
+    /// When it is not what `DEPLOY` describes, or a setting is missing or unreadable.
+    pub fn decode(text: &str) -> Result<Self, ConfigError> {
+        let file: File = serde_json::from_str(text)?;
+        let pairs = Pairs::from_json(&file.settings);
+        let mut settings = pairs.settings().map_err(ConfigError::Settings)?;
+        let host = HostSettings::decode(&pairs).map_err(ConfigError::Settings)?;
+        // Positions on sockets are Unix times, and so is the clock of this host.
+        settings.zero = Time(0);
+        // This host keeps the list followed by itself, and one attempt of a request out at a time.
+        settings.discovery = Discovery::Push;
+        settings.second_copies = false;
+        let seed = match &file.seed {
+            Value::Null => 0,
+            Value::Number(number) => number.as_u64().unwrap_or(0),
+            other => {
+                let text = other.as_str().unwrap_or("");
+                u64::from_str_radix(text, 16).map_err(|_| ConfigError::Seed(text.to_owned()))?
+            }
+        };
+        let File { name, listen, discovery, limits, known, .. } = file;
+        Ok(Self { name, listen, discovery, seed, sockets: limits.sockets, known, settings, host })
+    }
+}
+
+impl HostSettings {
+    fn decode(pairs: &Pairs) -> Result<Self, String> {
+        let time = |key: &str, absent| Ok::<_, String>(duration(span(pairs.number_or(key, absent)?)));
+        let mut longest_deadline = Duration::ZERO;
+        for at in 0..pairs.number("Lanes.count")? as usize {
+            longest_deadline = longest_deadline.max(time(&format!("Lanes.{at}.Deadline"), 1_000.0)?);
+        }
+        let names = pairs.text("Report.Fields").unwrap_or("").split(',').filter(|name| !name.is_empty());
+        Ok(Self {
+            dial_timeout: time("Limits.DialTimeout", 250.0)?,
+            keepalive: time("Limits.Keepalive", 30_000.0)?,
+            longest_deadline,
+            report: names.map(|name| (name.to_owned(), Field::named(name))).collect(),
+        })
+    }
+}
+
+/// The span as the standard library has it; none for a negative one.
+#[must_use]
+pub fn duration(span: Span) -> Duration {
+    Duration::from_micros(u64::try_from(span.0).unwrap_or(0))
+}
+
+/// A list of servers, or the changes since an earlier one.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct ServerList {
+    /// Its version.
+    #[serde(default)]
+    pub generation: u64,
+    /// Whether it is the whole list.
+    #[serde(default)]
+    pub reset: bool,
+    /// The entries.
+    #[serde(default)]
+    pub instances: Vec<Server>,
+}
+
+/// One server of a list.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Server {
+    /// Who it is, at every pooler and after a restart. Addresses may differ between poolers.
+    pub instance_id: String,
+    #[serde(default)]
+    host_port: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    cell: Option<i64>,
+    #[serde(default)]
+    lifecycle: String,
+    #[serde(default)]
+    started_at_ms: f64,
+    #[serde(default)]
+    part: Option<String>,
+}
+
+impl Server {
+    /// Who it is.
+    #[must_use]
+    pub fn member(&self) -> MemberId {
+        MemberId(Arc::from(self.instance_id.as_str()))
+    }
+
+    /// Where it listens, as far as the entry tells.
+    #[must_use]
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.host_port.parse().ok()
+    }
+
+    /// Its state. One that is not known here gets nothing new, as if it drained.
+    #[must_use]
+    pub fn state(&self) -> ListState {
+        match self.lifecycle.as_str() {
+            "up" => ListState::Healthy,
+            "removed" => ListState::Gone,
+            _ => ListState::Draining,
+        }
+    }
+
+    /// The entry as the module has it; `group` is the one known so far, for entries that don't tell theirs.
+    #[must_use]
+    pub fn entry(&self, group: Option<GroupId>) -> Entry {
+        let started = self.started_at_ms;
+        Entry {
+            member: self.member(),
+            group: self.cell.map(GroupId).or(group).unwrap_or_default(),
+            state: self.state(),
+            primary: self.part.as_deref() == Some("master"),
+            started: (started > 0.0).then(|| Time(span(started).0)),
+            zone: self.zone.clone(),
+        }
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -158,6 +158,18 @@
     Other,
 }
 
+impl Field {
+    /// The value that a report calls so.
+    #[must_use]
+    pub fn named(name: &str) -> Self {
+        match name {
+            "x0" => Self::Position,
+            "x1" => Self::Primary,
+            _ => Self::Other,
+        }
+    }
+}
+
 /// A customer whose traffic has a share.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,7 +13,10 @@
 struct Readme;
 
 mod choice;
+pub mod config;
 mod interface;
+pub mod net;
+pub mod settings;
 mod state;
 pub mod wire;
 
--- /dev/null
+++ b/src/net/buffer.rs
@@ -0,0 +1,97 @@
+//! Reading into buffers that shrink when idle, and writing from several places at once.
+
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::io::{self, IoSlice};
+use std::net::TcpStream;
+use std::ops::Range;
+
+const FIRST: usize = 2 * 1024;
+/// An idle buffer keeps no more than this.
+const KEPT: usize = 4 * 1024;
+
+/// Bytes that were read and not yet used up.
+#[derive(Debug, Default)]
+pub struct ReadBuffer {
+    bytes: Vec<u8>,
+    from: usize,
+    to: usize,
+}
+
+impl ReadBuffer {
+    /// What has been read and not used up.
+    #[must_use]
+    pub fn data(&self) -> &[u8] {
+        &self.bytes[self.from..self.to]
+    }
+
+    /// Uses up so many bytes.
+    pub fn consume(&mut self, count: usize) {
+        self.from = (self.from + count).min(self.to);
+        if self.from == self.to {
+            (self.from, self.to) = (0, 0);
+        }
+    }
+
+    /// Reads once; the count is 0 at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// When reading fails.
+    pub async fn fill(&mut self, stream: &Async<TcpStream>) -> io::Result<usize> {
+        if self.to == self.bytes.len() {
+            if self.from > 0 {
+                self.bytes.copy_within(self.from..self.to, 0);
+                (self.from, self.to) = (0, self.to - self.from);
+            } else {
+                self.bytes.resize((2 * self.bytes.len()).max(FIRST), 0);
+            }
+        }
+        let mut stream = stream;
+        let count = stream.read(&mut self.bytes[self.to..]).await?;
+        self.to += count;
+        Ok(count)
+    }
+
+    /// Takes the first `count` bytes out with the buffer that they stand in, so that they outlive further
+    /// reading uncopied. Only what was read beyond them is copied.
+    pub fn detach(&mut self, count: usize) -> (Vec<u8>, Range<usize>) {
+        let taken = self.from..(self.from + count).min(self.to);
+        let rest = self.bytes[taken.end..self.to].to_vec();
+        (self.from, self.to) = (0, rest.len());
+        (std::mem::replace(&mut self.bytes, rest), taken)
+    }
+
+    /// Takes a detached buffer back for further use, unless it is large.
+    pub fn give_back(&mut self, bytes: Vec<u8>) {
+        if self.bytes.is_empty() && bytes.len() <= KEPT {
+            self.bytes = bytes;
+        }
+    }
+
+    /// Lets go of a large buffer while there is nothing in it.
+    pub fn rest(&mut self) {
+        if self.from == self.to && self.bytes.len() > KEPT {
+            *self = Self::default();
+        }
+    }
+}
+
+/// Writes all pieces, one after another, in as few calls as the system allows.
+///
+/// # Errors
+///
+/// When writing fails, or the other side takes nothing more.
+pub async fn write_all(stream: &Async<TcpStream>, pieces: &[&[u8]]) -> io::Result<()> {
+    let mut slices: Vec<IoSlice<'_>> = pieces.iter().map(|piece| IoSlice::new(piece)).collect();
+    let mut left = slices.as_mut_slice();
+    let mut stream = stream;
+    IoSlice::advance_slices(&mut left, 0);
+    while !left.is_empty() {
+        match stream.write_vectored(left).await? {
+            0 => return Err(io::ErrorKind::WriteZero.into()),
+            count => IoSlice::advance_slices(&mut left, count),
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/net/counters.rs
@@ -0,0 +1,99 @@
+//! What the pooler took in, sent and answered.
+
+use crate::interface::Verdict;
+use std::cell::Cell;
+use std::fmt;
+
+/// A count that only grows.
+#[derive(Debug, Default)]
+pub struct Count(Cell<u64>);
+
+impl Count {
+    /// One more.
+    pub fn add(&self) {
+        self.0.set(self.0.get().saturating_add(1));
+    }
+}
+
+/// All counts since the start.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Client connections accepted.
+    pub clients: Count,
+    /// Client connections turned away for want of room.
+    pub crowded_out: Count,
+    /// Requests taken.
+    pub taken: Count,
+    /// Statements that were no request and got an error.
+    pub rejected: Count,
+    /// Attempts handed to the upstream side.
+    pub sent: Count,
+    /// Requests answered with a value.
+    pub served: Count,
+    /// Requests refused.
+    pub refused: Count,
+    /// Requests failed.
+    pub failed: Count,
+    /// Requests whose client left first.
+    pub gone: Count,
+    /// Connections opened to servers.
+    pub dials: Count,
+    /// Times that a connection had to wait for room in the own budget.
+    pub short: Count,
+    /// Probes sent.
+    pub probes: Count,
+    /// Watches of discovery opened.
+    pub watches: Count,
+    outcomes: [Count; 9],
+}
+
+const VERDICTS: [(Verdict, &str); 9] = [
+    (Verdict::Ok, "ok"),
+    (Verdict::Error, "error"),
+    (Verdict::Full, "full"),
+    (Verdict::Timeout, "timeout"),
+    (Verdict::ConnectFailed, "connect_failed"),
+    (Verdict::Reset, "reset"),
+    (Verdict::Cancelled, "cancelled"),
+    (Verdict::Moot, "moot"),
+    (Verdict::Miss, "miss"),
+];
+
+impl Counters {
+    /// Counts the end of an attempt.
+    pub fn outcome(&self, verdict: Verdict) {
+        for ((of, _), count) in VERDICTS.iter().zip(&self.outcomes) {
+            if *of == verdict {
+                count.add();
+            }
+        }
+    }
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let named = [
+            ("clients", &self.clients),
+            ("crowded_out", &self.crowded_out),
+            ("taken", &self.taken),
+            ("rejected", &self.rejected),
+            ("sent", &self.sent),
+            ("served", &self.served),
+            ("refused", &self.refused),
+            ("failed", &self.failed),
+            ("gone", &self.gone),
+            ("dials", &self.dials),
+            ("short", &self.short),
+            ("probes", &self.probes),
+            ("watches", &self.watches),
+        ];
+        write!(f, "counters")?;
+        for (name, count) in named {
+            write!(f, " {name}={}", count.0.get())?;
+        }
+        for ((_, name), count) in VERDICTS.iter().zip(&self.outcomes) {
+            write!(f, " outcome.{name}={}", count.0.get())?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,120 @@
+//! The watch of discovery: each change is taken as soon as it has been read.
+
+use super::Node;
+use super::buffer::{ReadBuffer, write_all};
+use super::http::{self, HttpError};
+use crate::config::ServerList;
+use crate::interface::Event;
+use async_io::{Async, Timer};
+use futures_lite::future::or;
+use std::io;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Empty lines come every 2 s. A watch that is silent for longer than two of them is given up, since what it
+/// would tell binds 6 s later, arrived or not.
+const SILENCE: Duration = Duration::from_millis(4_500);
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+/// A line longer than this is no list.
+const LONGEST_LINE: usize = 8 * 1024 * 1024;
+
+#[derive(Debug, thiserror::Error)]
+enum WatchError {
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    #[error("{0}")]
+    Http(#[from] HttpError),
+    #[error("a line that is no list: {0}")]
+    Json(#[from] serde_json::Error),
+    #[error("a line without an end")]
+    Line,
+}
+
+/// Follows discovery for ever, from the version that is known.
+pub async fn run(node: Rc<Node>, mut generation: u64) {
+    let mut pause = FIRST_PAUSE;
+    let mut told = false;
+    loop {
+        let before = generation;
+        node.counters.watches.add();
+        match watch(&node, &mut generation).await {
+            // A dropped watch is nothing to report; an answer that makes no sense is, once.
+            Err(WatchError::Io(_)) | Ok(()) => {}
+            Err(error) if !told => {
+                eprintln!("discovery: {error}");
+                told = true;
+            }
+            Err(_) => {}
+        }
+        pause = if generation == before { (pause * 2).min(LONGEST_PAUSE) } else { FIRST_PAUSE };
+        Timer::after(pause).await;
+    }
+}
+
+/// What `work` gives, unless it takes longer than the bound on silence.
+async fn bounded<T>(work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    let silence = async {
+        Timer::after(SILENCE).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    or(work, silence).await
+}
+
+/// One watch, until its connection ends or falls silent.
+async fn watch(node: &Node, generation: &mut u64) -> Result<(), WatchError> {
+    let address = node.discovery;
+    let stream = bounded(Async::<TcpStream>::connect(address)).await?;
+    let ask = format!(
+        "GET /discovery/hosts?follow=1&since={generation} HTTP/1.1\r\nHost: {address}\r\n\
+         Accept: application/json\r\n\r\n"
+    );
+    bounded(write_all(&stream, &[ask.as_bytes()])).await?;
+    let mut buffer = ReadBuffer::default();
+    let head = loop {
+        if let Some(head) = http::head(buffer.data())? {
+            break head;
+        }
+        if bounded(buffer.fill(&stream)).await? == 0 {
+            return Ok(());
+        }
+    };
+    buffer.consume(head.size);
+    let mut line: Vec<u8> = Vec::new();
+    loop {
+        while !buffer.data().is_empty() {
+            let (body, size) = if head.chunked {
+                match http::chunk(buffer.data())? {
+                    Some(([], _)) => return Ok(()),
+                    Some(chunk) => chunk,
+                    None => break,
+                }
+            } else {
+                (buffer.data(), buffer.data().len())
+            };
+            line.extend_from_slice(body);
+            buffer.consume(size);
+            take_lines(node, &mut line, generation)?;
+        }
+        buffer.rest();
+        if bounded(buffer.fill(&stream)).await? == 0 {
+            return Ok(());
+        }
+    }
+}
+
+/// Takes all whole lines out of `text`; an empty one only tells that the watch lives.
+fn take_lines(node: &Node, text: &mut Vec<u8>, generation: &mut u64) -> Result<(), WatchError> {
+    while let Some(end) = text.iter().position(|byte| *byte == b'\n') {
+        let line = text[..end].trim_ascii();
+        if !line.is_empty() {
+            let list: ServerList = serde_json::from_slice(line)?;
+            *generation = list.generation;
+            let listing = node.members.take(&list, false);
+            node.driver.feed(Event::List(listing));
+        }
+        text.drain(..=end);
+    }
+    if text.len() > LONGEST_LINE { Err(WatchError::Line) } else { Ok(()) }
+}
--- /dev/null
+++ b/src/net/driver.rs
@@ -0,0 +1,162 @@
+//! The driver: it owns the module, feeds it what happens, and hands each action to whom it concerns: the
+//! request that is waiting for it, the prober, or the wake timer. It decides nothing.
+
+use super::clock::Clock;
+use super::counters::Counters;
+use crate::Router;
+use crate::interface::*;
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::future::or;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// What the module wants done for a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// Start an attempt.
+    Send {
+        /// Where to.
+        member: MemberId,
+        /// How long to wait for its answer.
+        wait: Span,
+    },
+    /// Answer that it is refused.
+    Refuse {
+        /// When the client should come back.
+        retry_after: Option<Span>,
+    },
+    /// Answer that it has failed.
+    Fail,
+    /// Stop waiting for an attempt.
+    Cancel,
+}
+
+/// The module with its clock and mailboxes.
+pub struct Driver {
+    /// The clock that all of the module's times are on.
+    pub clock: Clock,
+    /// What is counted.
+    pub counters: Rc<Counters>,
+    router: RefCell<Router>,
+    actions: RefCell<Vec<Action>>,
+    mailboxes: RefCell<HashMap<RequestId, Sender<Order>>>,
+    last: Cell<u64>,
+    wakes: (Sender<Time>, Receiver<Time>),
+    probes: Sender<MemberId>,
+}
+
+impl Driver {
+    /// A driver of `router`; members to probe go to `probes`.
+    #[must_use]
+    pub fn new(router: Router, counters: Rc<Counters>, probes: Sender<MemberId>) -> Self {
+        Self {
+            clock: Clock::start(),
+            counters,
+            router: RefCell::new(router),
+            actions: RefCell::default(),
+            mailboxes: RefCell::default(),
+            last: Cell::new(0),
+            wakes: async_channel::unbounded(),
+            probes,
+        }
+    }
+
+    /// Tells the module what has happened and passes its actions on.
+    pub fn feed(&self, event: Event) {
+        let mut actions = self.actions.take();
+        self.router.borrow_mut().handle(self.clock.now(), event, &mut actions);
+        for action in actions.drain(..) {
+            self.pass_on(action);
+        }
+        self.actions.replace(actions);
+    }
+
+    fn pass_on(&self, action: Action) {
+        match action {
+            Action::Send { request, member, timeout } => {
+                self.order(request, Order::Send { member, wait: timeout });
+            }
+            Action::Refuse { request, retry_after } => self.order(request, Order::Refuse { retry_after }),
+            Action::Fail { request } => self.order(request, Order::Fail),
+            Action::Cancel { request, .. } => self.order(request, Order::Cancel),
+            // Both channels are unbounded, and their other ends live as long as the process.
+            Action::Probe { member } => drop(self.probes.try_send(member)),
+            Action::Wake { at } => drop(self.wakes.0.try_send(at)),
+            // The list is always followed.
+            Action::Subscribe => {}
+            Action::Log { line } => eprintln!("{line}"),
+        }
+    }
+
+    /// A request that has ended already has no mailbox; an order for it is void.
+    fn order(&self, request: RequestId, order: Order) {
+        if let Some(mailbox) = self.mailboxes.borrow().get(&request) {
+            drop(mailbox.try_send(order));
+        }
+    }
+
+    /// Opens a mailbox under a new id, and tells the module of the request that `event` makes with it.
+    pub fn take(self: &Rc<Self>, event: impl FnOnce(RequestId, Time) -> Request) -> Ticket {
+        let id = RequestId(self.last.get() + 1);
+        self.last.set(id.0);
+        let (sender, orders) = async_channel::unbounded();
+        self.mailboxes.borrow_mut().insert(id, sender);
+        self.counters.taken.add();
+        self.feed(Event::Request(event(id, self.clock.now())));
+        Ticket { driver: self.clone(), id, orders }
+    }
+
+    /// Wakes the module when it asked for it. A later wish takes the place of an earlier one: the module
+    /// voices one only if it is sooner, or the earlier has passed.
+    pub async fn run_wakes(&self) {
+        let mut due: Option<Time> = None;
+        loop {
+            let next = async { self.wakes.1.recv().await.ok() };
+            let rings = async {
+                match due {
+                    Some(at) => {
+                        let _ = Timer::at(self.clock.instant(at)).await;
+                    }
+                    None => std::future::pending().await,
+                }
+                None
+            };
+            due = or(next, rings).await;
+            if due.is_none() {
+                // Requests whose answers are readable by now get to read them before the module counts
+                // them as overdue: their tasks were woken by the same turn of the reactor.
+                futures_lite::future::yield_now().await;
+                self.feed(Event::Wake);
+            }
+        }
+    }
+}
+
+/// A request's side of its mailbox.
+pub struct Ticket {
+    driver: Rc<Driver>,
+    id: RequestId,
+    orders: Receiver<Order>,
+}
+
+impl Ticket {
+    /// The request's id.
+    #[must_use]
+    pub fn id(&self) -> RequestId {
+        self.id
+    }
+
+    /// The next order for the request.
+    pub async fn order(&self) -> Order {
+        // The driver drops the other end only with this ticket.
+        self.orders.recv().await.unwrap_or(Order::Fail)
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.driver.mailboxes.borrow_mut().remove(&self.id);
+    }
+}
--- /dev/null
+++ b/src/net/pg/comment.rs
@@ -0,0 +1,96 @@
+//! The statement of a request: the comment that says what is asked, and the quoted key.
+
+use super::PgError;
+use std::ops::Range;
+
+/// What the comment of a request says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Comment<'a> {
+    /// The class.
+    pub class: &'a str,
+    /// How long the client waits, in milliseconds.
+    pub wait_ms: f64,
+    /// Where that number stands in the statement: it is rewritten for each attempt.
+    pub wait_at: Range<usize>,
+    /// The group.
+    pub cluster: i64,
+    /// The time of the session's last commit, Unix time in milliseconds, where clients carry it.
+    pub after_ms: Option<f64>,
+}
+
+/// What a statement asks of the pooler.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Asks<'a> {
+    /// Nothing at all.
+    Nothing,
+    /// A change of the session's own state, which has no effect here: the command's tag.
+    Session(&'static str),
+    /// A request to route.
+    Request(Comment<'a>),
+    /// Anything else, which is not served.
+    Unknown,
+}
+
+/// Reads a statement.
+///
+/// # Errors
+///
+/// When it has a comment of a request that lacks a part or has an unreadable one.
+pub fn request(statement: &str) -> Result<Asks<'_>, PgError> {
+    let bare = statement.trim_matches(|c: char| c.is_ascii_whitespace() || c == ';');
+    if bare.is_empty() {
+        return Ok(Asks::Nothing);
+    }
+    if let Some(inner) = comment_at(statement) {
+        return comment(statement, inner).map(Asks::Request);
+    }
+    let word = bare.split(|c: char| !c.is_ascii_alphabetic()).next().unwrap_or("");
+    let own = ["SET", "RESET", "DISCARD"].into_iter().find(|own| word.eq_ignore_ascii_case(own));
+    Ok(own.map_or(Asks::Unknown, Asks::Session))
+}
+
+/// Where the inside of the comment at the end stands.
+fn comment_at(statement: &str) -> Option<Range<usize>> {
+    let end =
+        statement.trim_end_matches(|c: char| c.is_ascii_whitespace() || c == ';').strip_suffix("*/")?.len();
+    let start = statement[..end].rfind("/*")? + 2;
+    Some(start..end)
+}
+
+fn comment(statement: &str, inner: Range<usize>) -> Result<Comment<'_>, PgError> {
+    let (mut class, mut wait, mut cluster, mut after_ms) = (None, None, None, None);
+    let mut at = inner.start;
+    for pair in statement[inner].split(',') {
+        let (name, value) = pair.split_once('=').ok_or(PgError::Malformed("request comment"))?;
+        let from = at + name.len() + 1 + (value.len() - value.trim_start().len());
+        at += pair.len() + 1;
+        let value = value.trim();
+        match name.trim() {
+            "c" => class = Some(value),
+            "d" => wait = Some((value, from..from + value.len())),
+            "cluster" => cluster = Some(value),
+            "after" => after_ms = value.parse().ok(),
+            _ => {}
+        }
+    }
+    let missing = PgError::Malformed("request comment");
+    let (wait, wait_at) = wait.ok_or(missing)?;
+    let wait_ms = wait.parse().ok().filter(|ms| (0.0..1e9).contains(ms)).ok_or(missing)?;
+    let cluster = cluster.map_or(Ok(0), str::parse).map_err(|_| missing)?;
+    Ok(Comment { class: class.ok_or(missing)?, wait_ms, wait_at, cluster, after_ms })
+}
+
+/// The first quoted text of a statement, without its quotes; a doubled quote in it stays doubled.
+#[must_use]
+pub fn key(statement: &str) -> Option<&str> {
+    let start = statement.find('\'')? + 1;
+    let inside = &statement[start..];
+    let mut quotes = inside.match_indices('\'').map(|(at, _)| at);
+    while let Some(at) = quotes.next() {
+        if !inside[at + 1..].starts_with('\'') {
+            return Some(&inside[..at]);
+        }
+        quotes.next();
+    }
+    None
+}
--- /dev/null
+++ b/src/net/request.rs
@@ -0,0 +1,201 @@
+//! The life of a request, from when it is taken to its one final answer. Which protocol carries it is for
+//! [`Carrier`] to know.
+
+use super::driver::{Driver, Order};
+use crate::config::duration;
+use crate::interface::*;
+use futures_lite::future::or;
+use std::future::Future;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What takes an attempt to a member.
+pub trait Carrier {
+    /// What the client asks, ready to be sent on.
+    type Query;
+    /// What a member gave for it.
+    type Reply;
+
+    /// Makes one attempt and waits no longer than `wait` for its end. Nothing below this may send it again.
+    /// When the future ends or is dropped, nothing of the attempt is out any more.
+    fn attempt(
+        &self,
+        member: &MemberId,
+        query: &Self::Query,
+        wait: Duration,
+    ) -> impl Future<Output = Ended<Self::Reply>>;
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub struct Ended<R> {
+    /// The outcome.
+    pub verdict: Verdict,
+    /// What the member said of itself.
+    pub note: Option<Note>,
+    /// Its load report.
+    pub report: Option<Vec<f64>>,
+    /// The answer, if the outcome is [`Verdict::Ok`].
+    pub reply: Option<R>,
+}
+
+impl<R> Ended<R> {
+    /// An end without an answer or a note.
+    #[must_use]
+    pub fn without_answer(verdict: Verdict) -> Self {
+        Self { verdict, note: None, report: None, reply: None }
+    }
+}
+
+/// A request as a client's side hands it in.
+#[derive(Debug)]
+pub struct Asked<Q> {
+    /// Its class.
+    pub class: ClassId,
+    /// Its session, in classes that have them.
+    pub session: Option<SessionKey>,
+    /// Its group.
+    pub group: GroupId,
+    /// When the client gives up.
+    pub deadline: Time,
+    /// When its session last committed, where clients say so.
+    pub last_write: Option<Time>,
+    /// What is sent to a member.
+    pub query: Q,
+}
+
+/// Why a request ends without the module.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// Its client has left.
+    ClientLeft,
+    /// The process ends before its deadline.
+    ProcessEnds,
+}
+
+/// The final answer.
+#[derive(Debug)]
+pub enum Final<R> {
+    /// A member's answer.
+    Served(R),
+    /// Refused; trying again does no harm.
+    Refused(Option<Span>),
+    /// Failed; nothing is promised.
+    Failed,
+    /// Nobody is there to be told.
+    Gone,
+}
+
+enum Turn<R> {
+    Ended(Ended<R>),
+    Ordered(Order),
+    Cut(Cut),
+}
+
+/// Serves one request.
+pub async fn serve<C: Carrier>(
+    driver: &Rc<Driver>,
+    carrier: &C,
+    asked: &Asked<C::Query>,
+    cut: impl Future<Output = Cut>,
+) -> Final<C::Reply> {
+    let mut cut = pin!(cut);
+    let mut sends = 0;
+    let mut may_have_run = false;
+
+    // Taken: the module is asked what to do.
+    let ticket = driver.take(|id, now| Request {
+        id,
+        class: asked.class,
+        tenant: None,
+        session: asked.session,
+        left: asked.deadline - now,
+        group: asked.group,
+        last_write: asked.last_write.map(|at| now - at),
+        cost: None,
+    });
+    loop {
+        // It orders an attempt or the final answer, or lets the request wait.
+        let order = async { Turn::<C::Reply>::Ordered(ticket.order().await) };
+        let left = async { Turn::Cut(cut.as_mut().await) };
+        let (member, wait) = match or(order, left).await {
+            Turn::Ordered(Order::Send { member, wait }) => (member, wait),
+            Turn::Ordered(Order::Refuse { retry_after }) => return refused(driver, retry_after),
+            Turn::Ordered(Order::Fail) => return failed(driver),
+            Turn::Ordered(Order::Cancel) | Turn::Ended(_) => continue,
+            Turn::Cut(why) => {
+                driver.feed(Event::Gone(ticket.id()));
+                return end_early(driver, why, may_have_run);
+            }
+        };
+
+        // Sent: an answer that is there goes before the module's recall, and both before the client's leaving.
+        driver.counters.sent.add();
+        let sent = driver.clock.now();
+        let turn = {
+            let attempt = async { Turn::Ended(carrier.attempt(&member, &asked.query, duration(wait)).await) };
+            let recall = async { Turn::Ordered(ticket.order().await) };
+            let left = async { Turn::Cut(cut.as_mut().await) };
+            or(attempt, or(recall, left)).await
+        };
+
+        // The attempt is over, with its connection if it was given up; only now is the module told.
+        let (ended, after) = match turn {
+            Turn::Ended(ended) => (ended, None),
+            Turn::Ordered(order) => (Ended::without_answer(Verdict::Cancelled), Some(Ok(order))),
+            Turn::Cut(why) => (Ended::without_answer(Verdict::Cancelled), Some(Err(why))),
+        };
+        let Ended { verdict, note, report, reply } = ended;
+        may_have_run |= !verdict.never_ran();
+        if matches!(after, Some(Err(_))) {
+            driver.feed(Event::Gone(ticket.id()));
+        }
+        driver.counters.outcome(verdict);
+        driver.feed(Event::Outcome(Outcome {
+            request: ticket.id(),
+            attempt: AttemptNo(sends),
+            member,
+            verdict,
+            note,
+            took: driver.clock.now() - sent,
+            closed: reply.is_some() || !matches!(after, None | Some(Ok(Order::Cancel))),
+            report,
+        }));
+        sends += 1;
+
+        // The final answer, if this was it; else the module has been asked again.
+        match (reply, after) {
+            (Some(reply), _) => {
+                driver.counters.served.add();
+                return Final::Served(reply);
+            }
+            (None, Some(Ok(Order::Refuse { retry_after }))) => return refused(driver, retry_after),
+            (None, Some(Ok(Order::Fail))) => return failed(driver),
+            (None, Some(Err(why))) => return end_early(driver, why, may_have_run),
+            (None, None | Some(Ok(_))) => {}
+        }
+    }
+}
+
+fn refused<R>(driver: &Driver, retry_after: Option<Span>) -> Final<R> {
+    driver.counters.refused.add();
+    Final::Refused(retry_after)
+}
+
+fn failed<R>(driver: &Driver) -> Final<R> {
+    driver.counters.failed.add();
+    Final::Failed
+}
+
+/// At the end of the process a refusal is an honest answer only to what can't have run.
+fn end_early<R>(driver: &Driver, why: Cut, may_have_run: bool) -> Final<R> {
+    match why {
+        Cut::ClientLeft => {
+            driver.counters.gone.add();
+            Final::Gone
+        }
+        Cut::ProcessEnds if may_have_run => failed(driver),
+        Cut::ProcessEnds => refused(driver, None),
+    }
+}
--- /dev/null
+++ b/src/net/signals.rs
@@ -0,0 +1,64 @@
+//! Signals: SIGTERM or SIGINT drains the pooler, SIGUSR1 prints the counters.
+
+use super::Node;
+use async_io::Timer;
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Connections keep arriving for up to 0.4 s after SIGTERM; until a little later nothing changes for clients.
+const ARRIVALS: Duration = Duration::from_millis(500);
+/// And for this long after that a straggler is still accepted, served and closed.
+const STRAGGLERS: Duration = Duration::from_millis(250);
+/// SIGKILL comes no earlier than the longest deadline, counted as no more than this, and a grace.
+const LONGEST_COUNTED: Duration = Duration::from_secs(3);
+const KILL_GRACE: Duration = Duration::from_millis(700);
+/// What is still open so long before SIGKILL is answered at once.
+const MARGIN: Duration = Duration::from_millis(400);
+/// The time in which those last answers are written.
+const FLUSH: Duration = Duration::from_millis(150);
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Handles signals until the pooler has drained.
+///
+/// # Errors
+///
+/// When signals can't be had.
+pub fn listen(node: &Rc<Node>) -> io::Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1])?;
+    let listener = node.clone();
+    let task = async move {
+        let mut draining = false;
+        while let Some(signal) = signals.next().await {
+            if matches!(signal, Ok(Signal::Usr1)) {
+                eprintln!("{}", listener.counters);
+            } else if !std::mem::replace(&mut draining, true) {
+                let node = listener.clone();
+                listener.executor.spawn(async move { drain(&node).await }).detach();
+            }
+        }
+    };
+    node.executor.spawn(task).detach();
+    Ok(())
+}
+
+/// Serves on while connections arrive, closes clients as they fall idle, and ends when none is left.
+async fn drain(node: &Node) {
+    let started = Instant::now();
+    Timer::after(ARRIVALS).await;
+    node.closing.raise();
+    Timer::after(STRAGGLERS).await;
+    node.deaf.raise();
+    let last = node.longest_deadline.min(LONGEST_COUNTED) + KILL_GRACE - MARGIN;
+    while node.clients.get() > 0 && started.elapsed() < last {
+        Timer::after(LOOK).await;
+    }
+    node.ending.raise();
+    let last = last + FLUSH;
+    while node.clients.get() > 0 && started.elapsed() < last {
+        Timer::after(LOOK).await;
+    }
+    node.ended.raise();
+}
--- /dev/null
+++ b/src/net/upstream.rs
@@ -0,0 +1,445 @@
+//! Connections to servers: opened when none is free, reused last in first out, within a budget.
+
+use super::buffer::{ReadBuffer, write_all};
+use super::counters::Counters;
+use super::members::Members;
+use super::pg::{self, Code, Notes, PgError};
+use super::request::{Carrier, Ended};
+use crate::config::HostSettings;
+use crate::interface::*;
+use async_io::{Async, Timer};
+use event_listener::Event;
+use futures_lite::future::or;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::net::TcpStream;
+use std::ops::Range;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const USER: &str = "backend";
+const DATABASE: &str = "store";
+/// The part of the servers' idle limit after which an idle connection is dropped here: one that the server
+/// closes while a request is on its way would lose that request.
+const IDLE_PART: u32 = 3;
+/// A probe's time limit.
+const PROBE_WAIT: Duration = Duration::from_millis(250);
+/// How long what waits for room looks away, should nobody tell it.
+const SHORT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A statement of a client, in the buffer that it was read into. Only the wait is rewritten for an attempt.
+#[derive(Debug)]
+pub struct Statement {
+    /// The buffer.
+    pub bytes: Vec<u8>,
+    /// The statement in it, with its zero byte.
+    pub whole: Range<usize>,
+    /// The digits of the wait in it.
+    pub wait: Range<usize>,
+}
+
+/// A server's answer, in the buffer that it was read into.
+#[derive(Debug)]
+pub struct Reply {
+    bytes: Vec<u8>,
+    pieces: Vec<Range<usize>>,
+}
+
+impl Reply {
+    /// The messages of the answer, from RowDescription to CommandComplete.
+    pub fn pieces(&self) -> impl Iterator<Item = &[u8]> {
+        self.pieces.iter().map(|piece| &self.bytes[piece.clone()])
+    }
+}
+
+/// How many connections there may be, and are.
+#[derive(Debug)]
+struct Budget {
+    used: Cell<usize>,
+    most: usize,
+    freed: Event,
+}
+
+/// The right to one connection.
+#[derive(Debug)]
+struct Permit(Rc<Budget>);
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.0.used.set(self.0.used.get() - 1);
+        self.0.freed.notify(1);
+    }
+}
+
+#[derive(Debug)]
+struct Connection {
+    // Declared first: the descriptor is closed before the budget learns of it.
+    stream: Async<TcpStream>,
+    buffer: ReadBuffer,
+    idle_since: Instant,
+    _permit: Permit,
+}
+
+impl Connection {
+    /// Whether an idle connection can carry a request: open, and with nothing unread.
+    fn usable(&self, longest: Duration) -> bool {
+        let silent = match self.stream.get_ref().peek(&mut [0]) {
+            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+            Ok(_) => false,
+        };
+        silent && self.buffer.data().is_empty() && self.idle_since.elapsed() < longest
+    }
+}
+
+/// How far an attempt has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Waiting for room in the own budget.
+    Waiting,
+    /// Opening a connection.
+    Dialing,
+    /// The statement's last byte is not written yet.
+    Writing,
+    /// All is written: it may run.
+    Sent,
+}
+
+/// Why no answer came.
+enum Lost {
+    /// No descriptor or port was to be had here.
+    Short,
+    /// The connection failed.
+    Broken,
+    /// The member is not to be sent anything new.
+    Withdrawn,
+    /// The server said no before the query.
+    Said(Code),
+}
+
+impl From<io::Error> for Lost {
+    /// What this machine ran out of says nothing of the member.
+    fn from(error: io::Error) -> Self {
+        if shortage(&error) { Self::Short } else { Self::Broken }
+    }
+}
+
+impl From<PgError> for Lost {
+    fn from(_: PgError) -> Self {
+        Self::Broken
+    }
+}
+
+/// Whether an error tells that this machine is out of descriptors, memory or ports.
+#[must_use]
+pub fn shortage(error: &io::Error) -> bool {
+    use rustix::io::Errno;
+    let own = [Errno::MFILE, Errno::NFILE, Errno::NOMEM, Errno::NOBUFS, Errno::ADDRNOTAVAIL];
+    Errno::from_io_error(error).is_some_and(|errno| own.contains(&errno))
+}
+
+/// What was read up to ReadyForQuery, or until the server ended the connection.
+struct Exchange {
+    verdict: Verdict,
+    notes: Notes,
+    /// The answer's messages in the buffer.
+    pieces: Vec<Range<usize>>,
+    /// The row's value in the buffer.
+    value: Option<Range<usize>>,
+    /// The bytes of the exchange in the buffer.
+    size: usize,
+    /// The connection is at ReadyForQuery.
+    ready: bool,
+}
+
+/// The connections to all servers.
+pub struct Pool {
+    members: Rc<Members>,
+    counters: Rc<Counters>,
+    host: HostSettings,
+    budget: Rc<Budget>,
+    idle: RefCell<HashMap<MemberId, VecDeque<Connection>>>,
+}
+
+impl Pool {
+    /// A pool of at most `most` connections.
+    #[must_use]
+    pub fn new(members: Rc<Members>, counters: Rc<Counters>, host: HostSettings, most: usize) -> Self {
+        let budget = Rc::new(Budget { used: Cell::new(0), most, freed: Event::new() });
+        Self { members, counters, host, budget, idle: RefCell::default() }
+    }
+
+    fn longest_idle(&self) -> Duration {
+        self.host.keepalive / IDLE_PART
+    }
+
+    /// Closes idle connections that are of no more use. Runs for ever.
+    pub async fn run_upkeep(&self) {
+        loop {
+            Timer::after(Duration::from_millis(500)).await;
+            let longest = self.longest_idle();
+            self.idle.borrow_mut().retain(|member, connections| {
+                connections.retain(|one| self.members.in_service(member) && one.usable(longest));
+                !connections.is_empty()
+            });
+        }
+    }
+
+    /// Closes the connection that has been idle longest, if there is one.
+    pub fn close_one_idle(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.values_mut().filter(|of| !of.is_empty()).min_by_key(|of| of[0].idle_since);
+        oldest.is_some_and(|of| of.pop_front().is_some())
+    }
+
+    fn put_back(&self, member: &MemberId, mut connection: Connection) {
+        if !connection.buffer.data().is_empty() || !self.members.in_service(member) {
+            return;
+        }
+        connection.buffer.rest();
+        connection.idle_since = Instant::now();
+        self.idle.borrow_mut().entry(member.clone()).or_default().push_back(connection);
+    }
+
+    /// A free connection; the latest used first, so that the others can grow old and go.
+    fn free(&self, member: &MemberId) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(member)?;
+        while let Some(connection) = connections.pop_back() {
+            if connection.usable(self.longest_idle()) {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Room for one more connection, made by closing an idle one if need be. It waits while there is none:
+    /// the own shortage must not look like the member's failure.
+    async fn permit(&self) -> Permit {
+        while self.budget.used.get() >= self.budget.most && !self.close_one_idle() {
+            self.counters.short.add();
+            let freed = self.budget.freed.listen();
+            or(freed, async {
+                let _ = Timer::after(SHORT_PAUSE).await;
+            })
+            .await;
+        }
+        self.budget.used.set(self.budget.used.get() + 1);
+        Permit(self.budget.clone())
+    }
+
+    async fn connection(&self, member: &MemberId, stage: &Cell<Stage>) -> Result<Connection, Lost> {
+        loop {
+            if let Some(connection) = self.free(member) {
+                return Ok(connection);
+            }
+            stage.set(Stage::Waiting);
+            let permit = self.permit().await;
+            stage.set(Stage::Dialing);
+            let limit = async {
+                Timer::after(self.host.dial_timeout).await;
+                Err(Lost::Broken)
+            };
+            match or(self.dial(member, permit), limit).await {
+                // The system is out of something though the budget is not: wait, and let an idle one go.
+                Err(Lost::Short) => {
+                    stage.set(Stage::Waiting);
+                    self.counters.short.add();
+                    self.close_one_idle();
+                    Timer::after(SHORT_PAUSE).await;
+                }
+                other => return other,
+            }
+        }
+    }
+
+    async fn dial(&self, member: &MemberId, permit: Permit) -> Result<Connection, Lost> {
+        let address = self.members.address(member).ok_or(Lost::Broken)?;
+        self.counters.dials.add();
+        let stream = Async::<TcpStream>::connect(address).await?;
+        stream.get_ref().set_nodelay(true)?;
+        let mut hello = Vec::with_capacity(64);
+        pg::write::startup(&mut hello, USER, DATABASE);
+        write_all(&stream, &[&hello]).await?;
+        let mut buffer = ReadBuffer::default();
+        loop {
+            while let Some(message) = pg::message(buffer.data())? {
+                let (tag, size) = (message.tag, message.size);
+                match tag {
+                    b'E' => return Err(Lost::Said(pg::error_fields(message.body)?.code)),
+                    b'R' if message.body != [0; 4] => return Err(Lost::Broken),
+                    _ => {}
+                }
+                buffer.consume(size);
+                if tag == b'Z' {
+                    return Ok(Connection { stream, buffer, idle_since: Instant::now(), _permit: permit });
+                }
+            }
+            if buffer.fill(&stream).await? == 0 {
+                return Err(Lost::Broken);
+            }
+        }
+    }
+
+    /// Sends one simple query and reads up to ReadyForQuery.
+    async fn exchange(
+        &self,
+        member: &MemberId,
+        query: &[&[u8]],
+        stage: &Cell<Stage>,
+    ) -> Result<(Connection, Exchange), Lost> {
+        let mut connection = self.connection(member, stage).await?;
+        // The list may have changed while the connection was opened; nothing new goes to who drains or is gone.
+        if !self.members.in_service(member) {
+            return Err(Lost::Withdrawn);
+        }
+        stage.set(Stage::Writing);
+        write_all(&connection.stream, query).await?;
+        stage.set(Stage::Sent);
+        let exchange = read_answer(&connection.stream, &mut connection.buffer).await?;
+        Ok((connection, exchange))
+    }
+
+    /// [`Pool::exchange`] within a time limit, with its end told apart by how far it came.
+    async fn within(
+        &self,
+        wait: Duration,
+        member: &MemberId,
+        query: &[&[u8]],
+    ) -> Result<(Connection, Exchange), Verdict> {
+        let stage = Cell::new(Stage::Waiting);
+        let answer = async { Some(self.exchange(member, query, &stage).await) };
+        let limit = async {
+            Timer::after(wait).await;
+            None
+        };
+        match (or(answer, limit).await, stage.get()) {
+            (Some(Ok(done)), _) => Ok(done),
+            (Some(Err(Lost::Said(code))), _) => Err(verdict(code)),
+            (Some(Err(Lost::Withdrawn | Lost::Short)), Stage::Waiting | Stage::Dialing)
+            | (None, Stage::Waiting) => Err(Verdict::Moot),
+            (Some(Err(Lost::Withdrawn)), _) => Err(Verdict::Moot),
+            // Silence while dialing for less than the dial's own limit, or later, is the member's silence.
+            (None, Stage::Dialing | Stage::Sent) => Err(Verdict::Timeout),
+            (Some(Err(_)), Stage::Sent) => Err(Verdict::Reset),
+            (None, Stage::Writing) | (Some(Err(_)), _) => Err(Verdict::ConnectFailed),
+        }
+    }
+
+    /// Asks a member for its load report.
+    pub async fn probe(&self, member: &MemberId) -> (Verdict, Option<Vec<f64>>) {
+        let mut query = Vec::with_capacity(32);
+        pg::write::query(&mut query, "SHOW gauges");
+        match self.within(PROBE_WAIT, member, &[&query]).await {
+            Err(verdict) => (verdict, None),
+            Ok((mut connection, exchange)) => {
+                let value = exchange.value.and_then(|at| connection.buffer.data().get(at));
+                let text = value.and_then(|value| std::str::from_utf8(value).ok());
+                let report = text.and_then(|text| pg::report(text, &self.host.report));
+                if exchange.ready {
+                    connection.buffer.consume(exchange.size);
+                    self.put_back(member, connection);
+                }
+                (exchange.verdict, report)
+            }
+        }
+    }
+}
+
+impl Carrier for Pool {
+    type Query = Statement;
+    type Reply = Reply;
+
+    async fn attempt(&self, member: &MemberId, query: &Statement, wait: Duration) -> Ended<Reply> {
+        let digits = wait.as_micros().div_ceil(1_000).max(1).to_string();
+        let before = &query.bytes[query.whole.start..query.wait.start];
+        let after = &query.bytes[query.wait.end..query.whole.end];
+        let head = pg::write::query_head(before.len() + digits.len() + after.len());
+        match self.within(wait, member, &[&head, before, digits.as_bytes(), after]).await {
+            Err(verdict) => Ended::without_answer(verdict),
+            Ok((mut connection, exchange)) => {
+                let Exchange { verdict, notes, pieces, size, ready, .. } = exchange;
+                let reply = (verdict == Verdict::Ok).then(|| {
+                    let (bytes, at) = connection.buffer.detach(size);
+                    let moved = |piece: Range<usize>| piece.start + at.start..piece.end + at.start;
+                    Reply { bytes, pieces: pieces.into_iter().map(moved).collect() }
+                });
+                if reply.is_none() {
+                    connection.buffer.consume(size);
+                }
+                if ready {
+                    self.put_back(member, connection);
+                }
+                Ended { verdict, note: notes.note(), report: notes.report(&self.host.report), reply }
+            }
+        }
+    }
+}
+
+/// What a server's error tells: only these codes prove that nothing ran.
+fn verdict(code: Code) -> Verdict {
+    match &code.0 {
+        b"53300" | b"57P03" => Verdict::Full,
+        b"25006" | b"72000" => Verdict::Miss,
+        _ => Verdict::Error,
+    }
+}
+
+/// Reads an answer up to ReadyForQuery; what was whole before the connection ended counts.
+async fn read_answer(stream: &Async<TcpStream>, buffer: &mut ReadBuffer) -> Result<Exchange, Lost> {
+    let mut ended: Option<Verdict> = None;
+    let mut notes = Notes::default();
+    let mut pieces: Vec<Range<usize>> = Vec::new();
+    let (mut value, mut at, mut ready) = (None, 0, false);
+    'reading: loop {
+        while let Some(message) = pg::message(&buffer.data()[at..])? {
+            let piece = at..at + message.size;
+            let body = at + message.size - message.body.len();
+            at = piece.end;
+            match message.tag {
+                b'T' | b'C' | b'D' => {
+                    if message.tag == b'D' {
+                        let found = pg::row_value(message.body)?;
+                        let end = body + message.body.len();
+                        value = found.map(|found| end - found.len()..end);
+                    }
+                    if message.tag == b'C' {
+                        ended = ended.or(Some(Verdict::Ok));
+                    }
+                    match pieces.last_mut().filter(|last| last.end == piece.start) {
+                        Some(last) => last.end = piece.end,
+                        None => pieces.push(piece),
+                    }
+                }
+                b'E' => {
+                    let fields = pg::error_fields(message.body)?;
+                    ended = Some(verdict(fields.code));
+                    if fields.fatal {
+                        break 'reading;
+                    }
+                }
+                b'S' => {
+                    let (name, value) = pg::parameter(message.body)?;
+                    notes.take(name, value);
+                }
+                b'Z' if ended.is_some() => {
+                    ready = pg::ready(message.body);
+                    break 'reading;
+                }
+                b'N' | b'A' => {}
+                _ => return Err(Lost::Broken),
+            }
+        }
+        // More than any answer has means that the stream makes no sense; it is not kept in memory.
+        if buffer.data().len() > 2 * pg::LONGEST {
+            return Err(Lost::Broken);
+        }
+        match buffer.fill(stream).await {
+            Ok(1..) => {}
+            Ok(0) | Err(_) if ended.is_some() => break,
+            _ => return Err(Lost::Broken),
+        }
+    }
+    let verdict = ended.ok_or(Lost::Broken)?;
+    Ok(Exchange { verdict, notes, pieces, value, size: at, ready })
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -3,7 +3,8 @@
 
 use crate::Router;
 use crate::interface::*;
-use std::collections::{BTreeMap, HashMap};
+use crate::settings::{Pairs, Parsed, span};
+use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::io::{self, BufRead, Write};
 use std::sync::Arc;
@@ -30,8 +31,6 @@
     },
 }
 
-type Parsed<T> = Result<T, String>;
-
 struct Instance {
     router: Router,
     settings: Settings,
@@ -110,8 +109,7 @@
             "start" => {
                 let id = parts.integer("ProxyId")?;
                 let seed = parts.integer("InitSeed")?;
-                let pairs: BTreeMap<&str, &str> = parts.0.filter_map(|pair| pair.split_once('=')).collect();
-                let settings = settings(&pairs)?;
+                let settings = Pairs::from_parts(parts.0).settings()?;
                 let index = |names: Vec<&str>| {
                     names.into_iter().enumerate().map(|(at, name)| (name.to_owned(), at)).collect()
                 };
@@ -254,122 +252,6 @@
     Ok(Entry { member, group, state, primary, started, zone })
 }
 
-fn settings(pairs: &BTreeMap<&str, &str>) -> Parsed<Settings> {
-    let keys = Keys(pairs);
-    let needs: Vec<&str> = keys.text("FamilyInfo.NeedsByClass")?.split(',').collect();
-    let bounds: Vec<&str> = keys.text("FamilyInfo.OldestData")?.split(',').collect();
-    let mut classes = Vec::new();
-    for at in 0..keys.number("Lanes.count")? as usize {
-        let lane = |name: &str| format!("Lanes.{at}.{name}");
-        let need = match *needs.get(at).ok_or("FamilyInfo.NeedsByClass is too short")? {
-            "mutate" => Need::Write,
-            "eventual" => Need::Any,
-            "causal" => Need::Session,
-            "strong" => Need::Fresh,
-            "lag_bound" => {
-                let bound = bounds.get(at).and_then(|text| text.parse().ok());
-                Need::Bounded(span(bound.ok_or("FamilyInfo.OldestData is unreadable")?))
-            }
-            other => return Err(format!("unknown need '{other}' in FamilyInfo.NeedsByClass")),
-        };
-        let key = lane("Effect");
-        let effect = match keys.text(&key)? {
-            "retryable" => Effect::Safe,
-            "dedup" => Effect::Keyed,
-            "fragile" => Effect::Unsafe,
-            other => return Err(format!("unknown {key} '{other}'")),
-        };
-        classes.push(Class {
-            name: keys.text(&lane("Name"))?.to_owned(),
-            effect,
-            need,
-            aim: span(keys.number(&lane("Objective"))?),
-            aim_stretch: keys.number_or(&lane("AimStretch"), 0.0)?,
-            worth: keys.number(&lane("Worth"))?,
-            late_worth: keys.number(&lane("LateValue"))?,
-        });
-    }
-    let mut tenants = Vec::new();
-    for at in 0..keys.number_or("Tenants.count", 0.0)? as usize {
-        tenants.push(Tenant {
-            name: keys.text(&format!("Tenants.{at}.Name"))?.to_owned(),
-            quota: keys.number(&format!("Tenants.{at}.QuotaRps"))?,
-        });
-    }
-    let fields = keys.text("Report.Fields").unwrap_or("").split(',').map(|name| match name {
-        "x0" => Field::Position,
-        "x1" => Field::Primary,
-        _ => Field::Other,
-    });
-    Ok(Settings {
-        classes,
-        tenants,
-        fleet: keys.number("FleetSize")?.max(1.0) as u32,
-        zone: keys.text("Zone")?.to_owned(),
-        discovery: match keys.text("Discovery")? {
-            "push" => Discovery::Push,
-            "ask" => Discovery::Ask,
-            other => return Err(format!("unknown Discovery '{other}'")),
-        },
-        checks: match keys.text("FamilyInfo.WhenBehind")? {
-            "none" => Checks::None,
-            "bounce" | "await" => Checks::Refuse,
-            other => return Err(format!("unknown FamilyInfo.WhenBehind '{other}'")),
-        },
-        tokens: match keys.text("FamilyInfo.SessionMarks")? {
-            "brought" => Tokens::Carried,
-            "kept" => Tokens::Remembered,
-            other => return Err(format!("unknown FamilyInfo.SessionMarks '{other}'")),
-        },
-        zero: Time(span(keys.number("FamilyInfo.Zero")?).0),
-        report: fields.collect(),
-        max_attempts: keys.number("Limits.SendCap")? as u32,
-        second_copies: keys.flag("Limits.MayDuplicate")?,
-        probes: keys.flag("Limits.Probing")?,
-        cancels: keys.flag("Limits.Cancel")?,
-        retry_after: keys.flag("Limits.RetryAfter")?,
-        max_retry_after: span(keys.number_or("Limits.MaxRetryAfter", 0.0)?),
-        drain_grace: span(keys.number("Rules.DrainGrace")?),
-        soft_removal: keys.flag("Rules.SoftRemoval").unwrap_or(false),
-        cold_share: keys.number("Rules.ColdFrom")?,
-        cold_span: span(keys.number("Rules.Cold")?),
-        fall_multiple: keys.number("Rules.FallMultiple")?,
-        fall_span: span(keys.number("Rules.Fall")?),
-        over_share_worth: keys.number_or("OverShareWorth", 1.0)?,
-        goal: Goal {
-            whole: keys.number_or("ObjectiveMix.Whole", 0.0)?,
-            worst_class: keys.number_or("ObjectiveMix.WorstClass", 0.0)?,
-        },
-    })
-}
-
-/// The settings' path=value pairs.
-struct Keys<'a>(&'a BTreeMap<&'a str, &'a str>);
-
-impl<'a> Keys<'a> {
-    fn text(&self, key: &str) -> Parsed<&'a str> {
-        self.0.get(key).copied().ok_or_else(|| format!("setting {key} is missing"))
-    }
-
-    fn number(&self, key: &str) -> Parsed<f64> {
-        let text = self.text(key)?;
-        let value = text.parse().map_err(|_| format!("setting {key}: '{text}' is no number"))?;
-        if f64::is_finite(value) { Ok(value) } else { Err(format!("setting {key} is not finite")) }
-    }
-
-    fn number_or(&self, key: &str, absent: f64) -> Parsed<f64> {
-        if self.0.contains_key(key) { self.number(key) } else { Ok(absent) }
-    }
-
-    fn flag(&self, key: &str) -> Parsed<bool> {
-        match self.text(key)? {
-            "true" | "1" => Ok(true),
-            "false" | "0" => Ok(false),
-            other => Err(format!("setting {key}: '{other}' is neither true nor false")),
-        }
-    }
-}
-
 /// The parts of a line, in order.
 struct Parts<'a>(std::str::Split<'a, char>);
 
@@ -423,10 +305,6 @@
     }
 }
 
-fn span(ms: f64) -> Span {
-    Span((ms * 1_000.0).round() as i64)
-}
-
 fn ms(micros: i64) -> f64 {
     micros as f64 / 1_000.0
 }
