Refuse reads that were never sent before half their time is gone

At fault: the test for a hopeless read in place() looked at the deadline only, so classes with a late worth were held until an answer no longer fitted in. Writes still wait for their primary to the end, as the design has it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,6 +40,8 @@
 const SURE: f64 = 3.0;
 const HOPELESS_CROWD: f64 = 0.525;
 const HOPELESS_NEW: f64 = 0.8;
+/// The part of its time that a read waits for a member; refused later, its client has no time to come back.
+const HELD: f64 = 0.4;
 /// Illness (0 well, 1 dead): where ejection starts, the part of the way to 1 that failures add, and what an
 /// answer leaves of it. The first ejection is doubled each time, up to the longest.
 const EJECTED_AT: f64 = 0.6;
@@ -280,7 +282,10 @@
         let takes = self.pace[open.class].takes(SURE);
         let jam = self.crowding(now, open.group, REPLICA) > HOPELESS_CROWD && chance < HOPELESS_NEW;
         let waited = jam || now > open.arrived;
-        let hopeless = class.need != Need::Write && waited && now + takes >= last;
+        // One never sent keeps its client from trying elsewhere: it is told while half its time is left.
+        let half =
+            open.attempts.is_empty() && now - open.arrived > (open.deadline - open.arrived).times(HELD);
+        let hopeless = class.need != Need::Write && waited && (half || now + takes >= last);
         if spent || ran || hopeless || now + SWEEP >= open.deadline {
             self.give_up(now, id, actions);
             return;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -179,6 +179,20 @@
     assert!(wait.is_some_and(|wait| wait > Span(0) && wait <= Span::millis(2_000)));
 }
 
+#[test]
+fn a_read_that_is_never_sent_is_refused_while_its_client_has_time_to_come_back() {
+    // Seen on real sockets: with the primary down, reads with a late worth were held to the end of their time.
+    let mut settings = settings();
+    settings.classes[READ.0].late_worth = 0.2;
+    let mut host = Host::new(settings, 1);
+    host.tell(Event::List(Listing::Changes(vec![Entry { state: ListState::Draining, ..entry(1) }])));
+    let (id, actions) = host.ask(READ);
+    assert!(actions.iter().all(|action| matches!(action, Action::Wake { .. })), "it waits: {actions:?}");
+    assert!(refused(&host.pass(300), id).is_none(), "a member may still come");
+    let retry_after = refused(&host.pass(195), id).expect("half its time has not passed");
+    assert!(retry_after.is_some(), "and the client is told when to come back");
+}
+
 #[test]
 fn no_retry_after_where_clients_are_not_shown_one() {
     let mut host = Host::new(Settings { retry_after: false, max_attempts: 1, ..settings() }, 2);
