--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -2,8 +2,11 @@
 
 use linnetdeal::net::{http, pg};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
+
     #[test]
     fn no_bytes_make_a_parser_panic(data in prop::collection::vec(any::<u8>(), 0..200)) {
         if let Ok(Some(message)) = pg::message(&data) {
