--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -10,11 +10,11 @@
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// Empty lines come every 2 s. A watch that is silent for longer than two of them is given up, since what it
-/// would tell binds 6 s later, arrived or not.
-const SILENCE: Duration = Duration::from_millis(4_500);
+/// Empty lines come every 2 s. A watch that misses one is given up and opened anew, since what it would have
+/// told binds 6 s later, arrived or not.
+const SILENCE: Duration = Duration::from_millis(3_200);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
 /// A line longer than this is no list.
@@ -37,18 +37,20 @@
     let mut pause = FIRST_PAUSE;
     let mut told = false;
     loop {
-        let before = generation;
+        let (before, opened) = (generation, Instant::now());
         node.counters.watches.add();
         match watch(&node, &mut generation).await {
             // A dropped watch is nothing to report; an answer that makes no sense is, once.
             Err(WatchError::Io(_)) | Ok(()) => {}
             Err(error) if !told => {
-                eprintln!("discovery: {error}");
+                super::log(&format_args!("discovery: {error}"));
                 told = true;
             }
             Err(_) => {}
         }
-        pause = if generation == before { (pause * 2).min(LONGEST_PAUSE) } else { FIRST_PAUSE };
+        // Only a watch that fails straight away is not asked for again straight away.
+        let lived = generation != before || opened.elapsed() > LONGEST_PAUSE;
+        pause = if lived { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
         Timer::after(pause).await;
     }
 }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -11,6 +11,12 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
+
+/// A wake later than this tells that the process stood still.
+const LATE: Span = Span::millis(5);
+/// Long enough for one turn of the reactor.
+const A_TURN: Duration = Duration::from_millis(1);
 
 /// What the module wants done for a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -86,7 +92,7 @@
             Action::Wake { at } => drop(self.wakes.0.try_send(at)),
             // The list is always followed.
             Action::Subscribe => {}
-            Action::Log { line } => eprintln!("{line}"),
+            Action::Log { line } => super::log(&line),
         }
     }
 
@@ -123,10 +129,15 @@
                 }
                 None
             };
+            let wanted = due;
             due = or(next, rings).await;
             if due.is_none() {
                 // Requests whose answers are readable by now get to read them before the module counts
-                // them as overdue: their tasks were woken by the same turn of the reactor.
+                // them as overdue. The tasks that the same turn of the reactor woke come first; and where
+                // this process itself stood still, the reactor gets another turn to find them.
+                if wanted.is_some_and(|at| self.clock.now() - at > LATE) {
+                    Timer::after(A_TURN).await;
+                }
                 futures_lite::future::yield_now().await;
                 self.feed(Event::Wake);
             }
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -55,8 +55,10 @@
                 }
                 Timer::after(SHORT_PAUSE).await;
             }
-            // The client gave up before it was accepted.
-            Some(Err(_)) => futures_lite::future::yield_now().await,
+            // The client gave up before it was accepted; should it be something that lasts, it must not spin.
+            Some(Err(_)) => {
+                Timer::after(Duration::from_millis(1)).await;
+            }
         }
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -25,6 +25,7 @@
 use members::Members;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -72,6 +73,11 @@
     ended: Flag,
 }
 
+/// Writes a line to standard error. Where nobody reads it, it is lost, and nothing else happens.
+fn log(line: &dyn std::fmt::Display) {
+    let _ = writeln!(std::io::stderr(), "{line}");
+}
+
 /// Runs a pooler until it has drained after a signal.
 ///
 /// # Errors
@@ -120,8 +126,8 @@
     node.executor.spawn(probes::run(c, wanted)).detach();
     node.executor.spawn(discovery::run(d, config.known.generation)).detach();
     node.executor.spawn(frontend::run(e, listener)).detach();
-    eprintln!("{} listening on {listening}", config.name);
+    log(&format_args!("{} listening on {listening}", config.name));
     async_io::block_on(node.executor.run(node.ended.raised()));
-    eprintln!("{}", node.counters);
+    log(&node.counters);
     Ok(())
 }
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -33,7 +33,7 @@
         let mut draining = false;
         while let Some(signal) = signals.next().await {
             if matches!(signal, Ok(Signal::Usr1)) {
-                eprintln!("{}", listener.counters);
+                super::log(&listener.counters);
             } else if !std::mem::replace(&mut draining, true) {
                 let node = listener.clone();
                 listener.executor.spawn(async move { drain(&node).await }).detach();
@@ -47,6 +47,7 @@
 /// Serves on while connections arrive, closes clients as they fall idle, and ends when none is left.
 async fn drain(node: &Node) {
     let started = Instant::now();
+    super::log(&format_args!("draining with {} clients connected", node.clients.get()));
     Timer::after(ARRIVALS).await;
     node.closing.raise();
     Timer::after(STRAGGLERS).await;
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -13,7 +13,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::io;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -76,19 +76,24 @@
 struct Connection {
     // Declared first: the descriptor is closed before the budget learns of it.
     stream: Async<TcpStream>,
+    address: SocketAddr,
     buffer: ReadBuffer,
     idle_since: Instant,
     _permit: Permit,
 }
 
 impl Connection {
-    /// Whether an idle connection can carry a request: open, and with nothing unread.
-    fn usable(&self, longest: Duration) -> bool {
+    /// Whether an idle connection can carry a request: to where the member listens, open, and with nothing
+    /// unread.
+    fn usable(&self, address: Option<SocketAddr>, longest: Duration) -> bool {
         let silent = match self.stream.get_ref().peek(&mut [0]) {
             Err(error) => error.kind() == io::ErrorKind::WouldBlock,
             Ok(_) => false,
         };
-        silent && self.buffer.data().is_empty() && self.idle_since.elapsed() < longest
+        silent
+            && address == Some(self.address)
+            && self.buffer.data().is_empty()
+            && self.idle_since.elapsed() < longest
     }
 }
 
@@ -179,7 +184,8 @@
             Timer::after(Duration::from_millis(500)).await;
             let longest = self.longest_idle();
             self.idle.borrow_mut().retain(|member, connections| {
-                connections.retain(|one| self.members.in_service(member) && one.usable(longest));
+                let address = self.members.address(member).filter(|_| self.members.in_service(member));
+                connections.retain(|one| one.usable(address, longest));
                 !connections.is_empty()
             });
         }
@@ -203,10 +209,11 @@
 
     /// A free connection; the latest used first, so that the others can grow old and go.
     fn free(&self, member: &MemberId) -> Option<Connection> {
+        let address = self.members.address(member);
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(member)?;
         while let Some(connection) = connections.pop_back() {
-            if connection.usable(self.longest_idle()) {
+            if connection.usable(address, self.longest_idle()) {
                 return Some(connection);
             }
         }
@@ -272,7 +279,8 @@
                 }
                 buffer.consume(size);
                 if tag == b'Z' {
-                    return Ok(Connection { stream, buffer, idle_since: Instant::now(), _permit: permit });
+                    let idle_since = Instant::now();
+                    return Ok(Connection { stream, address, buffer, idle_since, _permit: permit });
                 }
             }
             if buffer.fill(&stream).await? == 0 {
@@ -316,9 +324,8 @@
         match (or(answer, limit).await, stage.get()) {
             (Some(Ok(done)), _) => Ok(done),
             (Some(Err(Lost::Said(code))), _) => Err(verdict(code)),
-            (Some(Err(Lost::Withdrawn | Lost::Short)), Stage::Waiting | Stage::Dialing)
-            | (None, Stage::Waiting) => Err(Verdict::Moot),
-            (Some(Err(Lost::Withdrawn)), _) => Err(Verdict::Moot),
+            // Nothing was sent, and nothing is known of the member.
+            (Some(Err(Lost::Withdrawn)), _) | (None, Stage::Waiting) => Err(Verdict::Moot),
             // Silence while dialing for less than the dial's own limit, or later, is the member's silence.
             (None, Stage::Dialing | Stage::Sent) => Err(Verdict::Timeout),
             (Some(Err(_)), Stage::Sent) => Err(Verdict::Reset),
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -189,10 +189,19 @@
     assert!(first.contains("follow=1"), "{first}");
     watch.send(Some(list(57, true, vec![server.entry("up", "replica")]))).unwrap();
     watch.send(None).unwrap();
-    let (second, _watch) = discovery.watch();
+    let (second, _silent) = discovery.watch();
     assert!(second.contains("since=57"), "{second}");
     let mut client = Client::connect(&pooler);
     assert_eq!(client.ask(&menu("1")).value.as_deref(), Some(&b"s-9"[..]), "and the list was taken");
+    // A watch that says nothing at all is given up as well. Who has moved is found where it listens now.
+    let (_, watch) = discovery.watch();
+    let moved = Server::new("s-9", |wire, _| {
+        wire.row(b"moved", "replica", NOW_MS);
+        true
+    });
+    watch.send(Some(list(58, false, vec![moved.entry("up", "replica")]))).unwrap();
+    let found = (0..100_000).any(|_| client.ask(&menu("2")).value.as_deref() == Some(&b"moved"[..]));
+    assert!(found, "connections to its old address are not used any more");
 }
 
 #[test]
