A write that could not be sent keeps the mark; large values are held in tight buffers

A held 64 KiB value stood in a buffer of 256 KiB, which for 575 clients would be 147 MB of the 192. A cell written as 3.0 made the whole list unreadable.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -485,10 +485,10 @@
             self.give_up(now, id, actions);
             return;
         }
-        // Proof that nothing ran at the mark moves it to the next member.
+        // Proof that nothing ran at the mark moves it to the next member; not what was never sent to it.
         if write && verdict.never_ran() {
             let gid = open.group;
-            if verdict != Verdict::Full {
+            if !matches!(verdict, Verdict::Full | Verdict::Moot) {
                 open.misses += 1;
                 let next = self.next_member(gid, Some(&member));
                 if let Some(group) = self.groups.get_mut(&gid).filter(|g| g.mark.as_ref() == Some(&member)) {
--- a/src/config.rs
+++ b/src/config.rs
@@ -187,11 +187,11 @@
     #[serde(default)]
     zone: String,
     #[serde(default)]
-    cell: Option<i64>,
+    cell: Option<f64>,
     #[serde(default)]
     lifecycle: String,
     #[serde(default)]
-    started_at_ms: f64,
+    started_at_ms: Option<f64>,
     #[serde(default)]
     part: Option<String>,
 }
@@ -222,13 +222,12 @@
     /// The entry as the module has it; `group` is the one known so far, for entries that don't tell theirs.
     #[must_use]
     pub fn entry(&self, group: Option<GroupId>) -> Entry {
-        let started = self.started_at_ms;
         Entry {
             member: self.member(),
-            group: self.cell.map(GroupId).or(group).unwrap_or_default(),
+            group: self.cell.map(|cell| GroupId(cell as i64)).or(group).unwrap_or_default(),
             state: self.state(),
             primary: self.part.as_deref() == Some("master"),
-            started: (started > 0.0).then(|| Time(span(started).0)),
+            started: self.started_at_ms.filter(|ms| *ms > 0.0).map(|ms| Time(span(ms).0)),
             zone: self.zone.clone(),
         }
     }
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -59,7 +59,13 @@
         let taken = self.from..(self.from + count).min(self.to);
         let rest = self.bytes[taken.end..self.to].to_vec();
         (self.from, self.to) = (0, rest.len());
-        (std::mem::replace(&mut self.bytes, rest), taken)
+        let mut bytes = std::mem::replace(&mut self.bytes, rest);
+        // A large value may be held for seconds, beside hundreds of others: not in a buffer twice its size.
+        if bytes.len() - taken.end > KEPT {
+            bytes.truncate(taken.end);
+            bytes.shrink_to_fit();
+        }
+        (bytes, taken)
     }
 
     /// Takes a detached buffer back for further use, unless it is large.
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -22,9 +22,9 @@
 const SHORT_PAUSE: Duration = Duration::from_millis(20);
 /// A client gets this long to finish its startup, and to take an answer.
 const STARTUP_WAIT: Duration = Duration::from_secs(10);
-const WRITE_WAIT: Duration = Duration::from_secs(10);
+const WRITE_WAIT: Duration = Duration::from_secs(30);
 /// What a client may send ahead while its request is out; beyond it nothing more is read until then.
-const AHEAD: usize = pg::LONGEST;
+const AHEAD: usize = 16 * 1024;
 
 /// Opens the listening socket.
 ///
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -26,6 +26,15 @@
     }
 }
 
+#[test]
+fn a_write_that_the_host_could_not_send_says_nothing_of_the_primary() {
+    // A host short of descriptors sends nothing at all; the mark would have walked away from a sound primary.
+    let mut host = with_primary(settings());
+    let (id, _) = host.ask(UNSAFE);
+    assert_eq!(sends(&host.end(id, 0, 1, Verdict::Moot)), [member(1)]);
+    assert_eq!(sends(&host.ask(UNSAFE).1), [member(1)]);
+}
+
 #[test]
 fn a_request_that_fails_anywhere_harms_no_members_standing() {
     // Seen on the bench: a third of the requests got an error at any member, and four in a row ejected it.
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -162,10 +162,12 @@
 
 #[test]
 fn a_connection_that_the_server_closed_carries_nothing_more() {
-    let server = Server::new("s-1", |wire, _| {
+    let (tell, told) = channel();
+    let tell = Mutex::new(tell);
+    let server = Server::new("s-1", move |wire, _| {
         wire.row(b"s-1", "replica", NOW_MS);
-        // The end of the stream is on its way before the answer can have been read.
         wire.stream.shutdown(std::net::Shutdown::Both).unwrap();
+        tell.lock().unwrap().send(()).unwrap();
         false
     });
     let discovery = Discovery::new();
@@ -173,6 +175,7 @@
     let mut client = Client::connect(&pooler);
     for id in ["1", "2", "3"] {
         assert_eq!(client.ask(&menu(id)).value.as_deref(), Some(&b"s-1"[..]));
+        told.recv().unwrap();
     }
     assert_eq!(server.got().len(), 3);
     let counters = pooler.counters();
