Last words on a connection are not lost to a reset; the idle wait reads plainly

The pooler now ends its sending and reads on for up to 1 s; a client beyond even the spare room gets its 53300 before the close instead of a bare reset.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -11,8 +11,8 @@
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::io;
-use std::net::{TcpListener, TcpStream};
+use std::io::{self, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -23,6 +23,8 @@
 /// A client gets this long to finish its startup, and to take an answer.
 const STARTUP_WAIT: Duration = Duration::from_secs(10);
 const WRITE_WAIT: Duration = Duration::from_secs(30);
+/// How long a client that was told why its connection ends may go on writing.
+const PARTING: Duration = Duration::from_secs(1);
 /// What a client may send ahead while its request is out; beyond it nothing more is read until then.
 const AHEAD: usize = 16 * 1024;
 
@@ -40,11 +42,12 @@
 /// Accepts clients until the node turns deaf.
 pub async fn run(node: Rc<Node>, listener: Async<TcpListener>) {
     loop {
-        let accepted = or(async { Some(listener.accept().await) }, async {
+        let accepted = async { Some(listener.accept().await) };
+        let deaf = async {
             node.deaf.raised().await;
             None
-        });
-        match accepted.await {
+        };
+        match or(accepted, deaf).await {
             None => return,
             Some(Ok((stream, _))) => admit(&node, stream),
             // Out of descriptors: neither spin nor end. An idle connection is let go to make room.
@@ -70,7 +73,8 @@
     // Over the budget the client that has been idle longest makes room, else the new one is refused.
     let room = open <= node.most_clients || node.close_idle_client();
     if open > node.most_clients + node.spare_clients {
-        node.counters.crowded_out.add();
+        // Not even a task is left for it. A new connection takes these few bytes at once.
+        let _ = stream.get_ref().write(&crowded_out(node));
         node.clients.set(open - 1);
         return;
     }
@@ -84,6 +88,14 @@
     node.executor.spawn(task).detach();
 }
 
+/// What a client is told for whom there is no room.
+fn crowded_out(node: &Node) -> Vec<u8> {
+    node.counters.crowded_out.add();
+    let mut out = Vec::new();
+    write::error(&mut out, Severity::Fatal, "53300", "too many clients", Some("250"));
+    out
+}
+
 /// Why a client's connection ends.
 #[derive(Debug, thiserror::Error)]
 enum ClientError {
@@ -133,7 +145,25 @@
     async fn complain(&mut self, error: PgError) -> Result<(), ClientError> {
         let mut out = Vec::new();
         write::error(&mut out, Severity::Fatal, "08P01", &error.to_string(), None);
-        self.send(&[&out]).await
+        self.part(&out).await
+    }
+
+    /// Sends the last words on a connection, and reads what the client is still writing: to close before that
+    /// would reset the connection, and the words might be lost with it.
+    async fn part(&mut self, words: &[u8]) -> Result<(), ClientError> {
+        self.send(&[words]).await?;
+        self.stream.get_ref().shutdown(Shutdown::Write)?;
+        let Self { stream, buffer, .. } = self;
+        let rest = async {
+            while matches!(buffer.fill(stream).await, Ok(1..)) {
+                buffer.consume(buffer.data().len());
+            }
+        };
+        let enough = async {
+            Timer::after(PARTING).await;
+        };
+        or(rest, enough).await;
+        Ok(())
     }
 
     async fn send(&self, pieces: &[&[u8]]) -> Result<(), ClientError> {
@@ -160,9 +190,7 @@
         }
         let mut out = Vec::with_capacity(256);
         if !room {
-            self.node.counters.crowded_out.add();
-            write::error(&mut out, Severity::Fatal, "53300", "too many clients", Some("250"));
-            self.send(&[&out]).await?;
+            self.part(&crowded_out(self.node)).await?;
             return Ok(false);
         }
         write::welcome(&mut out, std::process::id(), 0);
@@ -210,32 +238,24 @@
 
     /// Waits idle for the next command; false if there will be none. What is readable goes before closing.
     async fn wait_for_more(&mut self) -> Result<bool, ClientError> {
-        let between = self.buffer.data().is_empty();
-        self.buffer.rest();
-        let seat = between.then(|| self.node.sit_down());
-        let evicted = async {
-            match &seat {
-                Some(seat) => seat.left.raised().await,
-                None => std::future::pending().await,
-            }
-        };
-        let closing = async {
-            or(
-                async {
-                    if between { self.node.closing.raised().await } else { std::future::pending().await }
-                },
-                async {
-                    self.node.ending.raised().await;
-                },
-            )
-            .await;
-        };
-        let stop = async {
-            or(evicted, closing).await;
-            Ok(0)
+        let Self { node, stream, buffer } = self;
+        let between = buffer.data().is_empty();
+        buffer.rest();
+        let more = async { Ok(buffer.fill(stream).await? > 0) };
+        if !between {
+            // The rest of a command is waited for to the last.
+            let ending = async {
+                node.ending.raised().await;
+                Ok(false)
+            };
+            return or(more, ending).await;
+        }
+        let seat = node.sit_down();
+        let leave = async {
+            or(seat.left.raised(), node.closing.raised()).await;
+            Ok(false)
         };
-        let count = or(self.buffer.fill(&self.stream), stop).await?;
-        Ok(count > 0)
+        or(more, leave).await
     }
 
     /// Reads the command at the front of the buffer and uses it up.
@@ -284,20 +304,15 @@
     /// Serves a request and writes its one answer; false if the connection ends with it.
     async fn request(&mut self, asked: Asked<Statement>, out: &mut Vec<u8>) -> Result<bool, ClientError> {
         let Self { node, stream, buffer } = self;
-        let cut = async {
-            or(
-                async {
-                    client_left(stream, buffer).await;
-                    Cut::ClientLeft
-                },
-                async {
-                    node.ending.raised().await;
-                    Cut::ProcessEnds
-                },
-            )
-            .await
+        let left = async {
+            client_left(stream, buffer).await;
+            Cut::ClientLeft
+        };
+        let ending = async {
+            node.ending.raised().await;
+            Cut::ProcessEnds
         };
-        let answer = serve(&node.driver, &node.pool, &asked, cut).await;
+        let answer = serve(&node.driver, &node.pool, &asked, or(left, ending)).await;
         self.buffer.give_back(asked.query.bytes);
         self.answer(answer, out).await
     }
