--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -22,7 +22,7 @@
 const DATABASE: &str = "store";
 /// The part of the servers' idle limit after which an idle connection is dropped here: one that the server
 /// closes while a request is on its way would lose that request.
-const IDLE_PART: u32 = 3;
+const IDLE_PART: f64 = 2.0 / 3.0;
 /// A probe's time limit.
 const PROBE_WAIT: Duration = Duration::from_millis(250);
 /// How long what waits for room looks away, should nobody tell it.
@@ -175,7 +175,7 @@
     }
 
     fn longest_idle(&self) -> Duration {
-        self.host.keepalive / IDLE_PART
+        self.host.keepalive.mul_f64(IDLE_PART)
     }
 
     /// Closes idle connections that are of no more use. Runs for ever.
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -4,7 +4,9 @@
 use peers::*;
 use std::net::TcpStream;
 use std::sync::Mutex;
-use std::sync::mpsc::channel;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Sender, channel};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 const NOW_MS: &str = "1767225600123";
 
@@ -21,6 +23,18 @@
     })
 }
 
+/// A server that answers once the sender is dropped.
+fn held(id: &'static str) -> (Sender<()>, Server) {
+    let (open, opened) = channel::<()>();
+    let opened = Mutex::new(opened);
+    let server = Server::new(id, move |wire, _| {
+        assert!(opened.lock().unwrap().recv().is_err());
+        wire.row(id.as_bytes(), "replica", NOW_MS);
+        true
+    });
+    (open, server)
+}
+
 #[test]
 fn a_value_passes_through_whole_and_only_the_wait_is_rewritten() {
     let big = vec![0xA5; 65_536];
@@ -82,6 +96,32 @@
     assert_eq!((replica.got().len(), primary.got().len()), (1, 2), "not sent again");
 }
 
+#[test]
+fn a_write_without_a_primary_is_held_until_a_probe_shows_one() {
+    // Both turn the write away; one has become the primary by the time it is probed.
+    let member = |id: &'static str, heir: bool| {
+        let promoted = AtomicBool::new(false);
+        Server::new(id, move |wire, statement| {
+            if statement.starts_with("SHOW") {
+                promoted.store(heir, Ordering::Relaxed);
+                let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs_f64();
+                wire.row(format!("x0={now:.6},x1={}", u8::from(heir)).as_bytes(), "", "");
+            } else if promoted.load(Ordering::Relaxed) {
+                wire.row(b"done", "master", NOW_MS);
+            } else {
+                wire.error("25006", "replica");
+            }
+            true
+        })
+    };
+    let (heir, other) = (member("s-2", true), member("s-1", false));
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![other.entry("up", "master"), heir.entry("up", "replica")]);
+    let mut client = Client::connect(&pooler);
+    assert_eq!(client.ask(&top_up("1")).value.as_deref(), Some(&b"done"[..]));
+    assert_eq!((other.got().len(), heir.got().len()), (1, 2), "a walk round the group, then straight there");
+}
+
 #[test]
 fn nothing_is_sent_to_a_member_that_drains_while_its_connection_is_opened() {
     let (open, opened) = channel::<()>();
@@ -209,13 +249,7 @@
 
 #[test]
 fn a_full_house_lets_the_idle_go_first_and_says_so_to_who_is_over() {
-    let (open, opened) = channel::<()>();
-    let opened = Mutex::new(opened);
-    let server = Server::new("s-1", move |wire, _| {
-        assert!(opened.lock().unwrap().recv().is_err());
-        wire.row(b"s-1", "replica", NOW_MS);
-        true
-    });
+    let (open, server) = held("s-1");
     let discovery = Discovery::new();
     // Of 48 descriptors 12 are kept aside, 13 go to servers, 8 to clients that are refused, 15 to clients.
     let pooler = Pooler::within(&discovery, vec![server.entry("up", "replica")], 48);
@@ -266,13 +300,7 @@
 
 /// False if the late client came too late.
 fn restart() -> bool {
-    let (open, opened) = channel::<()>();
-    let opened = Mutex::new(opened);
-    let server = Server::new("s-1", move |wire, _| {
-        assert!(opened.lock().unwrap().recv().is_err());
-        wire.row(b"s-1", "replica", NOW_MS);
-        true
-    });
+    let (open, server) = held("s-1");
     let discovery = Discovery::new();
     let mut pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
     let (mut idle, mut busy) = (Client::connect(&pooler), Client::connect(&pooler));
