The stories' reads go on after an interrupting signal

Seen: 8 of 96 runs of the socket stories, sixteen at a time, ended with 'Interrupted system call' in a peer's read. The stopped and continued child of one story signals the test process, and a read with a time limit is not resumed. Only the peers' reader was at fault; the pooler's sockets do not block.

--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -36,6 +36,8 @@
                 self.read.extend_from_slice(&bytes[..count]);
                 count > 0
             }
+            // A read with a time limit is not resumed after a signal, such as the one of a stopped child.
+            Err(error) if error.kind() == std::io::ErrorKind::Interrupted => self.more(),
             Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => {
                 self.reset = true;
                 false
