--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -326,7 +326,8 @@
             (Some(Err(Lost::Said(code))), _) => Err(verdict(code)),
             // Nothing was sent, and nothing is known of the member.
             (Some(Err(Lost::Withdrawn)), _) | (None, Stage::Waiting) => Err(Verdict::Moot),
-            // Silence while dialing for less than the dial's own limit, or later, is the member's silence.
+            // Silence while dialing for less than the dial's own limit, or later, is the member's silence. Told as
+            // no connection while dialing, it made no difference on days with unreachable members.
             (None, Stage::Dialing | Stage::Sent) => Err(Verdict::Timeout),
             (Some(Err(_)), Stage::Sent) => Err(Verdict::Reset),
             (None, Stage::Writing) | (Some(Err(_)), _) => Err(Verdict::ConnectFailed),
