SIGHUP reads the configuration again and moves the watch at once

The log ends without a word, so it was the signal's own effect: src/net/signals.rs named Term, Int and Usr1 only.

Now SIGHUP loads the file that the start used. A usable one moves the watch, even out of a silent one or a pause between two; an unusable one leaves one log line and nothing else. What is held, the connections and the open requests stay as they are.

Checked with a probe that logged each list: the generations go on at the new address (asked since 1, it said 1 and then 2), nothing came as a reset, so `since` is kept as it is; a whole list is taken as one. Ruled out that the old watch is needed meanwhile: the first line of the new one came within 10 ms.

The story fails without the change: the pooler ends at the first signal.

--- a/src/bin/linnetdeal.rs
+++ b/src/bin/linnetdeal.rs
@@ -21,7 +21,7 @@
             return ExitCode::from(BAD_CONFIG);
         }
     };
-    match linnetdeal::net::run(config) {
+    match linnetdeal::net::run(config, path) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("linnetdeal: {error}");
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -42,6 +42,8 @@
     pub short: Count,
     /// Probes sent.
     pub probes: Count,
+    /// Configurations read again.
+    pub reloads: Count,
     /// Watches of discovery opened.
     pub watches: Count,
     outcomes: [Count; 9],
@@ -85,6 +87,7 @@
             ("dials", &self.dials),
             ("short", &self.short),
             ("probes", &self.probes),
+            ("reloads", &self.reloads),
             ("watches", &self.watches),
         ];
         write!(f, "counters")?;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -6,9 +6,11 @@
 use crate::config::ServerList;
 use crate::interface::Event;
 use async_io::{Async, Timer};
+use event_listener::Event as Bell;
 use futures_lite::future::or;
+use std::cell::Cell;
 use std::io;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -20,6 +22,28 @@
 /// A line longer than this is no list.
 const LONGEST_LINE: usize = 8 * 1024 * 1024;
 
+/// Where discovery is followed; it may move while the pooler runs.
+#[derive(Debug)]
+pub struct Source {
+    address: Cell<SocketAddr>,
+    moved: Bell,
+}
+
+impl Source {
+    /// One that is followed at `address`.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address: Cell::new(address), moved: Bell::new() }
+    }
+
+    /// Follows discovery at `address` from now on.
+    pub fn follow(&self, address: SocketAddr) {
+        if self.address.replace(address) != address {
+            self.moved.notify(usize::MAX);
+        }
+    }
+}
+
 #[derive(Debug, thiserror::Error)]
 enum WatchError {
     #[error("{0}")]
@@ -38,8 +62,14 @@
     let mut told = false;
     loop {
         let (before, opened) = (generation, Instant::now());
+        let (moved, address) = (node.discovery.moved.listen(), node.discovery.address.get());
         node.counters.watches.add();
-        match watch(&node, &mut generation).await {
+        // An old address may stay silent, and what the new one has to tell binds soon: the watch moves at once.
+        let left = async {
+            moved.await;
+            Ok(())
+        };
+        match or(watch(&node, address, &mut generation), left).await {
             // A dropped watch is nothing to report; an answer that makes no sense is, once.
             Err(WatchError::Io(_)) | Ok(()) => {}
             Err(error) if !told => {
@@ -48,10 +78,20 @@
             }
             Err(_) => {}
         }
+        if node.discovery.address.get() != address {
+            pause = FIRST_PAUSE;
+            continue;
+        }
         // Only a watch that fails straight away is not asked for again straight away.
         let lived = generation != before || opened.elapsed() > LONGEST_PAUSE;
         pause = if lived { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
-        Timer::after(pause).await;
+        let moved = node.discovery.moved.listen();
+        if node.discovery.address.get() == address {
+            or(moved, async {
+                let _ = Timer::after(pause).await;
+            })
+            .await;
+        }
     }
 }
 
@@ -65,8 +105,7 @@
 }
 
 /// One watch, until its connection ends or falls silent.
-async fn watch(node: &Node, generation: &mut u64) -> Result<(), WatchError> {
-    let address = node.discovery;
+async fn watch(node: &Node, address: SocketAddr, generation: &mut u64) -> Result<(), WatchError> {
     let stream = bounded(Async::<TcpStream>::connect(address)).await?;
     let ask = format!(
         "GET /discovery/hosts?follow=1&since={generation} HTTP/1.1\r\nHost: {address}\r\n\
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -20,6 +20,7 @@
 use crate::interface::{Event, Need};
 use async_executor::LocalExecutor;
 use counters::Counters;
+use discovery::Source;
 use driver::Driver;
 use flag::Flag;
 use members::Members;
@@ -27,6 +28,7 @@
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use upstream::Pool;
@@ -54,7 +56,8 @@
     pub pool: Pool,
     /// What is counted.
     pub counters: Rc<Counters>,
-    discovery: SocketAddr,
+    discovery: Source,
+    config_file: PathBuf,
     longest_deadline: Duration,
     classes: Vec<(String, Need)>,
     most_clients: usize,
@@ -79,12 +82,13 @@
     let _ = writeln!(std::io::stderr(), "{line}");
 }
 
-/// Runs a pooler until it has drained after a signal.
+/// Runs a pooler until it has drained after a signal. `config_file` is where `config` was read, and is read
+/// again on SIGHUP.
 ///
 /// # Errors
 ///
 /// When it can't start.
-pub fn run(config: Config) -> Result<(), RunError> {
+pub fn run(config: Config, config_file: PathBuf) -> Result<(), RunError> {
     let counters = Rc::new(Counters::default());
     let members = Rc::new(Members::default());
     let (probes, wanted) = async_channel::unbounded();
@@ -102,7 +106,8 @@
         members: members.clone(),
         pool: Pool::new(members, counters.clone(), config.host, most_upstream),
         counters,
-        discovery: config.discovery,
+        discovery: Source::new(config.discovery),
+        config_file,
         longest_deadline,
         classes,
         most_clients: shared - most_upstream - spare_clients,
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -1,6 +1,7 @@
-//! Signals: SIGTERM or SIGINT drains the pooler, SIGUSR1 prints the counters.
+//! Signals: SIGTERM or SIGINT drains the pooler, SIGHUP reads the configuration again, SIGUSR1 prints the counters.
 
 use super::Node;
+use crate::config::Config;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
@@ -27,16 +28,19 @@
 ///
 /// When signals can't be had.
 pub fn listen(node: &Rc<Node>) -> io::Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1])?;
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup, Signal::Usr1])?;
     let listener = node.clone();
     let task = async move {
         let mut draining = false;
         while let Some(signal) = signals.next().await {
-            if matches!(signal, Ok(Signal::Usr1)) {
-                super::log(&listener.counters);
-            } else if !std::mem::replace(&mut draining, true) {
-                let node = listener.clone();
-                listener.executor.spawn(async move { drain(&node).await }).detach();
+            match signal {
+                Ok(Signal::Usr1) => super::log(&listener.counters),
+                Ok(Signal::Hup) => reload(&listener),
+                _ if std::mem::replace(&mut draining, true) => {}
+                _ => {
+                    let node = listener.clone();
+                    listener.executor.spawn(async move { drain(&node).await }).detach();
+                }
             }
         }
     };
@@ -44,6 +48,20 @@
     Ok(())
 }
 
+/// Reads the configuration again and follows discovery where it says. All else in it holds from the next start;
+/// the list that is held, the connections and the open requests stay as they are. A file that can't be used
+/// changes nothing.
+fn reload(node: &Node) {
+    match Config::load(&node.config_file) {
+        Ok(config) => {
+            node.counters.reloads.add();
+            super::log(&format_args!("configuration read again, discovery at {}", config.discovery));
+            node.discovery.follow(config.discovery);
+        }
+        Err(error) => super::log(&format_args!("configuration kept as it was: {error}")),
+    }
+}
+
 /// Serves on while connections arrive, closes clients as they fall idle, and ends when none is left.
 async fn drain(node: &Node) {
     let started = Instant::now();
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -239,6 +239,14 @@
     json!({"generation": generation, "reset": reset, "instances": instances})
 }
 
+/// A configuration with this list known.
+pub fn config(discovery: &Discovery, known: Vec<Value>, sockets: usize) -> String {
+    json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
+        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+        "peers": [], "known": list(41, true, known), "settings": settings()})
+    .to_string()
+}
+
 /// The built pooler; killed when dropped.
 pub struct Pooler {
     pub child: Child,
@@ -264,10 +272,7 @@
 
     /// One that may hold so many descriptors.
     pub fn within(discovery: &Discovery, known: Vec<Value>, sockets: usize) -> Self {
-        let config = json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
-            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
-            "peers": [], "known": list(41, true, known), "settings": settings()});
-        let (mut child, file) = start(&config.to_string());
+        let (mut child, file) = start(&config(discovery, known, sockets));
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
         let (sender, log) = channel();
         std::thread::spawn(move || {
@@ -293,6 +298,11 @@
         self.logged("counters")
     }
 
+    /// Puts other text in the place of its configuration.
+    pub fn configure(&self, text: &str) {
+        std::fs::write(&self.file, text).unwrap();
+    }
+
     /// The next log line that starts so.
     pub fn logged(&self, start: &str) -> String {
         loop {
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -247,6 +247,44 @@
     assert!(found, "connections to its old address are not used any more");
 }
 
+#[test]
+fn a_new_configuration_moves_the_watch_and_an_unusable_one_changes_nothing() {
+    let (open, busy_server) = held("s-1");
+    let (moved, dropped) = (plain("s-2", "replica"), plain("s-3", "replica"));
+    let (old, new) = (Discovery::new(), Discovery::new());
+    let mut pooler = Pooler::new(&old, vec![busy_server.entry("up", "replica")]);
+    let (_, _silent) = old.watch();
+    let mut busy = Client::connect(&pooler);
+    busy.send(&menu("1"));
+    while busy_server.got().is_empty() {
+        std::thread::yield_now();
+    }
+    for unusable in ["", "{\"discovery\": 7}"] {
+        pooler.configure(unusable);
+        pooler.signal("HUP");
+        pooler.logged("configuration kept as it was: ");
+    }
+    // The old address would stay silent for seconds yet; what is held is told to the new one.
+    pooler.configure(&config(&new, Vec::new(), 1_024));
+    pooler.signal("HUP");
+    pooler.logged("configuration read again");
+    let (asked, watch) = new.watch();
+    assert!(asked.contains("since=41"), "{asked}");
+    // The whole list there takes the place of the one held, and changes follow.
+    watch.send(Some(list(7, true, vec![dropped.entry("up", "replica")]))).unwrap();
+    let changes = vec![moved.entry("up", "replica"), dropped.entry("draining", "")];
+    watch.send(Some(list(8, false, changes))).unwrap();
+    let mut client = Client::connect(&pooler);
+    while client.ask(&menu("2")).value.as_deref() != Some(&b"s-2"[..]) {}
+    drop(open);
+    assert_eq!(busy.answer().value.as_deref(), Some(&b"s-1"[..]), "the open request went on");
+    assert_eq!(busy_server.got().len(), 1, "who is not on the new list gets nothing new");
+    assert!(pooler.counters().contains(" reloads=1 "));
+    drop((busy, client));
+    pooler.signal("TERM");
+    assert!(pooler.child.wait().unwrap().success());
+}
+
 #[test]
 fn a_full_house_lets_the_idle_go_first_and_says_so_to_who_is_over() {
     let (open, server) = held("s-1");
