Silent and bad clients take no seats from those who ask, and are closed in time

The descriptors stood at 261 of 384: all seats were full.

Checked with a probe that logged what was turned away: 5,377 statements of no known class in 20 s, the same again at once after each error; requests without an id that went on to servers; half commands. Ruled out the servers: 277 resets beside 277 spoilt answers, few ejections, p50 of 27 ms. Ruled out CPU: 0.08 s in the worst second.

At fault in src/net/frontend.rs: STARTUP_WAIT of 10 s and no limit at all for the rest of a command; `room`, which stopped accepting while clients that say nothing held the spare seats; seats given to whoever came first; `part`, 250 ms for 60 MB; no id asked for, and `d` read as any float.

Now net/seats.rs keeps the seats. Who has asked nothing shares a quarter of them, is closed 2 s after it was accepted, and makes room before anybody who has asked. Errors are followed by a rest and the eighth by a close; what a parting client still writes is read away for up to 3 s. Reading, accepting and commands yield after each step. The deadline is bounded by the longest of any class.

--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -2,7 +2,8 @@
 
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use std::io::{self, IoSlice};
+use std::cell::RefCell;
+use std::io::{self, IoSlice, Read};
 use std::net::TcpStream;
 use std::ops::Range;
 
@@ -83,6 +84,15 @@
     }
 }
 
+/// Reads once into a buffer that many share, and forgets it; the count is 0 at the end of the stream.
+///
+/// # Errors
+///
+/// When reading fails.
+pub async fn discard(stream: &Async<TcpStream>, scratch: &RefCell<Vec<u8>>) -> io::Result<usize> {
+    stream.read_with(|mut stream| stream.read(&mut scratch.borrow_mut())).await
+}
+
 /// Writes all pieces, one after another, in as few calls as the system allows.
 ///
 /// # Errors
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -1,15 +1,15 @@
 //! Clients: connections are accepted within a budget, and each has a task that reads its commands in order.
 
 use super::Node;
-use super::buffer::{ReadBuffer, write_all};
-use super::flag::Flag;
+use super::buffer::{ReadBuffer, discard, write_all};
 use super::pg::write::{self, Severity};
 use super::pg::{self, Asks, PgError, Startup};
 use super::request::{Asked, Cut, Final, serve};
+use super::seats::{Rank, Seat};
 use super::upstream::{Reply, Statement};
 use crate::interface::*;
 use async_io::{Async, Timer};
-use futures_lite::future::or;
+use futures_lite::future::{or, yield_now};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -20,13 +20,17 @@
 const BACKLOG: i32 = 1_024;
 /// How long accepting rests when descriptors have run out.
 const SHORT_PAUSE: Duration = Duration::from_millis(20);
-/// A client gets this long to finish its startup, and to take an answer.
-const STARTUP_WAIT: Duration = Duration::from_secs(10);
+/// A client gets this long for its first command from when it was accepted, and for the rest of any command
+/// that has begun; and this long to take an answer. Connections without an open request may be closed after 2 s,
+/// and who sends nothing whole is owed a close within 3 s of connecting, part of which it may wait in the backlog.
+const COMMAND_WAIT: Duration = Duration::from_secs(2);
 const WRITE_WAIT: Duration = Duration::from_secs(30);
-/// How long a client that was told why its connection ends may go on writing.
-const PARTING: Duration = Duration::from_millis(250);
-/// One that has been idle for less may be about to send: it is not asked to make room.
-const LEAST_IDLE: Duration = Duration::from_millis(20);
+/// How long a client that was told why its connection ends may go on writing: enough for 60 MB.
+const PARTING: Duration = Duration::from_secs(3);
+/// Who sends what can't be served rests for so long after each error, and is told to go after so many: the
+/// same thing, sent again as soon as it was turned away, would keep others waiting.
+const REST: Duration = Duration::from_millis(50);
+const MOST_ERRORS: u32 = 8;
 /// What a client may send ahead while its request is out; beyond it nothing more is read until then.
 const AHEAD: usize = 16 * 1024;
 
@@ -45,8 +49,8 @@
 pub async fn run(node: Rc<Node>, listener: Async<TcpListener>) {
     loop {
         let accepted = async {
-            room(&node).await;
-            Some(listener.accept().await)
+            let room = node.seats.room().await;
+            Some(listener.accept().await.map(|(stream, _)| (stream, room)))
         };
         let deaf = async {
             node.deaf.raised().await;
@@ -54,12 +58,16 @@
         };
         match or(accepted, deaf).await {
             None => return,
-            Some(Ok((stream, _))) => admit(&node, stream),
+            Some(Ok((stream, room))) => {
+                admit(&node, stream, room);
+                // A flood of connections holds up nobody who is already here.
+                yield_now().await;
+            }
             // Out of descriptors: neither spin nor end. An idle connection is let go to make room.
             Some(Err(error)) if super::upstream::shortage(&error) => {
                 node.counters.short.add();
                 if !node.pool.close_one_idle() {
-                    node.close_idle_client();
+                    node.seats.ask_one_to_go(Rank::Idle);
                 }
                 Timer::after(SHORT_PAUSE).await;
             }
@@ -71,31 +79,23 @@
     }
 }
 
-/// Waits while even the spare room is taken by clients that are being refused. They go soon; whoever comes
-/// meanwhile waits to be accepted. Seen with 64 descriptors: a client that was accepted only to be closed at
-/// once, with 53300 but its request unread, lost that request.
-async fn room(node: &Node) {
-    while node.clients.get() >= node.most_clients + node.spare_clients {
-        let ended = node.client_ended.listen();
-        if node.clients.get() >= node.most_clients + node.spare_clients {
-            ended.await;
-        }
-    }
-}
-
-fn admit(node: &Rc<Node>, stream: Async<TcpStream>) {
+fn admit(node: &Rc<Node>, stream: Async<TcpStream>, room: bool) {
     node.counters.clients.add();
-    let open = node.clients.get() + 1;
-    node.clients.set(open);
-    // Over the budget the client that has been idle longest makes room, else the new one is refused.
-    let room = open <= node.most_clients || node.close_idle_client();
     let owner = node.clone();
     let task = async move {
-        let mut client = Client { node: &owner, stream, buffer: ReadBuffer::default() };
+        let seat = owner.seats.take();
+        let mut client = Client {
+            node: &owner,
+            // Closed before the seat counts as free.
+            stream,
+            buffer: ReadBuffer::default(),
+            seat,
+            stage: Stage::Startup,
+            since: Instant::now(),
+            errors: 0,
+        };
         // What went wrong on one client's connection concerns nobody else: it is closed.
         let _ = client.run(room).await;
-        owner.clients.set(owner.clients.get() - 1);
-        owner.client_ended.notify(1);
     };
     node.executor.spawn(task).detach();
 }
@@ -111,62 +111,75 @@
     Slow,
 }
 
+/// How far a client has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Its startup is not all there.
+    Startup,
+    /// It has not asked anything yet.
+    Silent,
+    /// It has.
+    Known,
+}
+
 struct Client<'a> {
     node: &'a Rc<Node>,
     stream: Async<TcpStream>,
     buffer: ReadBuffer,
+    seat: Seat<'a>,
+    stage: Stage,
+    /// When it came to its seat, or last had an answer.
+    since: Instant,
+    /// Its commands that were no use.
+    errors: u32,
 }
 
 /// What a command comes down to.
 enum Command {
     /// A request to route.
-    Request(Asked<Statement>),
+    Request(Asked<Statement>, OpenId),
     /// Something answered here; the answer is in the buffer given.
     Answered,
+    /// Something that is not served: the code and words of its error.
+    Rejected(&'static str, String),
     /// The connection ends.
     End,
 }
 
 impl Client<'_> {
     async fn run(&mut self, room: bool) -> Result<(), ClientError> {
-        let begun = or(self.begin(room), async {
-            Timer::after(STARTUP_WAIT).await;
-            Err(ClientError::Slow)
-        });
-        match begun.await {
-            Ok(true) => {}
-            Ok(false) => return Ok(()),
-            Err(ClientError::Pg(error)) => return self.complain(error).await,
-            Err(error) => return Err(error),
-        }
-        match self.commands().await {
-            Err(ClientError::Pg(error)) => self.complain(error).await,
+        let ended = match self.begin(room).await {
+            Ok(true) => self.commands().await,
+            other => other.map(drop),
+        };
+        match ended {
+            Err(ClientError::Pg(error)) => {
+                self.node.counters.rejected.add();
+                self.part("08P01", &error.to_string(), None).await
+            }
             other => other,
         }
     }
 
-    /// Tells the client what is wrong with its messages, as its connection ends.
-    async fn complain(&mut self, error: PgError) -> Result<(), ClientError> {
-        let mut out = Vec::new();
-        write::error(&mut out, Severity::Fatal, "08P01", &error.to_string(), None);
-        self.part(&out).await
-    }
-
     /// Sends the last words on a connection, and reads what the client is still writing: to close before that
     /// would reset the connection, and the words might be lost with it.
-    async fn part(&mut self, words: &[u8]) -> Result<(), ClientError> {
-        self.send(&[words]).await?;
+    async fn part(&mut self, code: &str, words: &str, detail: Option<&str>) -> Result<(), ClientError> {
+        let mut out = Vec::new();
+        write::error(&mut out, Severity::Fatal, code, words, detail);
+        self.send(&[&out]).await?;
         self.stream.get_ref().shutdown(Shutdown::Write)?;
-        let Self { stream, buffer, .. } = self;
+        self.buffer = ReadBuffer::default();
         let rest = async {
-            while matches!(buffer.fill(stream).await, Ok(1..)) {
-                buffer.consume(buffer.data().len());
+            // One that sends at full speed holds up nobody else.
+            while matches!(discard(&self.stream, &self.node.scratch).await, Ok(1..)) {
+                yield_now().await;
             }
         };
         let enough = async {
             Timer::after(PARTING).await;
         };
-        or(rest, enough).await;
+        let work = or(rest, or(enough, self.node.ending.raised()));
+        self.seat.yielding(Rank::Parting, Instant::now(), work).await;
         Ok(())
     }
 
@@ -188,17 +201,17 @@
                     Startup::Cancel => return Ok(false),
                     Startup::Session => break,
                 }
-            } else if self.buffer.fill(&self.stream).await? == 0 {
+            } else if !self.more().await? {
                 return Ok(false);
             }
         }
-        let mut out = Vec::with_capacity(256);
         if !room {
             self.node.counters.crowded_out.add();
-            write::error(&mut out, Severity::Fatal, "53300", "too many clients", Some("250"));
-            self.part(&out).await?;
+            self.part("53300", "too many clients", Some("250")).await?;
             return Ok(false);
         }
+        self.stage = Stage::Silent;
+        let mut out = Vec::with_capacity(256);
         write::welcome(&mut out, std::process::id(), 0);
         self.send(&[&out]).await?;
         Ok(true)
@@ -209,7 +222,7 @@
         let mut out = Vec::new();
         loop {
             let Some(message) = pg::message(self.buffer.data())? else {
-                if !self.wait_for_more().await? {
+                if !self.more().await? {
                     return Ok(());
                 }
                 continue;
@@ -224,92 +237,128 @@
             match self.command(size, &mut out)? {
                 Command::End => return Ok(()),
                 Command::Answered => {
-                    skipping = !matches!(tag, b'Q' | b'S');
+                    skipping &= tag != b'S';
+                    if matches!(tag, b'Q' | b'S') {
+                        write::ready(&mut out);
+                    }
+                    if tag == b'Q' {
+                        self.stage = Stage::Known;
+                    }
+                    self.send(&[&out]).await?;
+                }
+                Command::Rejected(code, words) => {
+                    self.node.counters.rejected.add();
+                    self.errors += 1;
+                    if self.errors >= MOST_ERRORS {
+                        return self.part(code, &words, None).await;
+                    }
+                    write::error(&mut out, Severity::Error, code, &words, None);
+                    skipping = tag != b'Q';
                     if !skipping {
                         write::ready(&mut out);
                     }
                     self.send(&[&out]).await?;
+                    let rest = async {
+                        Timer::after(REST).await;
+                    };
+                    if self.seat.yielding(Rank::Silent, self.since, rest).await.is_none() {
+                        return Ok(());
+                    }
                 }
-                Command::Request(asked) => {
+                Command::Request(asked, open) => {
+                    self.stage = Stage::Known;
                     if !self.request(asked, &mut out).await? {
                         return Ok(());
                     }
+                    drop(open);
                 }
             }
+            if self.stage == Stage::Known {
+                self.since = Instant::now();
+            }
+            // Many commands sent at once hold up nobody else.
+            yield_now().await;
             if out.capacity() > 4 * 1024 {
                 out = Vec::new();
             }
         }
     }
 
-    /// Waits idle for the next command; false if there will be none. What is readable goes before closing.
-    async fn wait_for_more(&mut self) -> Result<bool, ClientError> {
-        let Self { node, stream, buffer } = self;
-        let between = buffer.data().is_empty();
+    /// Reads more; false if there will be none, or the client has to go: it makes room, took too long for a
+    /// command, or the process ends. What is readable goes before all that.
+    async fn more(&mut self) -> Result<bool, ClientError> {
+        let Self { node, stream, buffer, seat, stage, since, .. } = self;
+        let between = buffer.data().is_empty() && *stage != Stage::Startup;
         buffer.rest();
-        let more = async { Ok(buffer.fill(stream).await? > 0) };
-        if !between {
-            // The rest of a command is waited for to the last.
-            let ending = async {
-                node.ending.raised().await;
-                Ok(false)
-            };
-            return or(more, ending).await;
-        }
-        let seat = node.sit_down();
-        let leave = async {
-            or(seat.left.raised(), node.closing.raised()).await;
+        // The first bytes of a command that has begun came just now; they don't grant more time again.
+        let limit = match *stage {
+            Stage::Known if between => None,
+            _ => Some(*since + COMMAND_WAIT),
+        };
+        let read = async { Ok(buffer.fill(stream).await? > 0) };
+        let late = async {
+            match limit {
+                Some(at) => drop(Timer::at(at).await),
+                None => std::future::pending().await,
+            }
+            Ok(false)
+        };
+        let ending = async {
+            let ends = if between { &node.closing } else { &node.ending };
+            ends.raised().await;
             Ok(false)
         };
-        or(more, leave).await
+        let rank = if *stage == Stage::Known { Rank::Idle } else { Rank::Silent };
+        let done = seat.yielding(rank, *since, or(read, or(late, ending))).await;
+        if between && *stage == Stage::Known {
+            *since = Instant::now();
+        }
+        done.unwrap_or(Ok(false))
     }
 
     /// Reads the command at the front of the buffer and uses it up.
     fn command(&mut self, size: usize, out: &mut Vec<u8>) -> Result<Command, ClientError> {
         let Some(message) = pg::message(self.buffer.data())? else { return Ok(Command::End) };
-        let tag = message.tag;
-        match tag {
+        let mut rejected = None;
+        match message.tag {
             b'Q' => {
                 let statement = pg::query_text(message.body)?;
                 match pg::request(statement) {
-                    Ok(Asks::Request(comment)) => match self.node.asked(statement, &comment) {
-                        Some(asked) => {
+                    Ok(Asks::Request(comment)) => {
+                        let asked = self.node.asked(statement, &comment);
+                        let open = OpenId::enter(self.node, comment.id);
+                        if let (Some(asked), Some(open)) = (asked, open) {
                             let wait = comment.wait_at.clone();
                             let (bytes, at) = self.buffer.detach(size);
                             let whole = at.start + 5..at.end;
                             let wait = wait.start + whole.start..wait.end + whole.start;
-                            return Ok(Command::Request(asked.with(Statement { bytes, whole, wait })));
+                            return Ok(Command::Request(asked.with(Statement { bytes, whole, wait }), open));
                         }
-                        None => self.reject(out, "42601", "the request names no class of this site"),
-                    },
+                        rejected = Some(("42601", "no class of this site, or an id in use".to_owned()));
+                    }
                     Ok(Asks::Nothing) => write::empty_query(out),
                     Ok(Asks::Session(command)) => write::complete(out, command),
                     Ok(Asks::Unknown) => {
-                        self.reject(out, "0A000", "only requests with their comment are routed")
+                        rejected = Some(("0A000", "only requests with their comment are routed".to_owned()));
                     }
-                    Err(error) => self.reject(out, "42601", &error.to_string()),
+                    Err(error) => rejected = Some(("42601", error.to_string())),
                 }
             }
             b'X' => return Ok(Command::End),
             b'S' => {}
             b'P' | b'B' | b'E' | b'D' | b'C' | b'H' | b'F' => {
-                self.reject(out, "0A000", "only simple queries are spoken here");
+                rejected = Some(("0A000", "only simple queries are spoken here".to_owned()));
             }
             b'd' | b'c' | b'f' => {}
             _ => return Err(PgError::Malformed("message type").into()),
         }
         self.buffer.consume(size);
-        Ok(Command::Answered)
-    }
-
-    fn reject(&self, out: &mut Vec<u8>, code: &str, words: &str) {
-        self.node.counters.rejected.add();
-        write::error(out, Severity::Error, code, words, None);
+        Ok(rejected.map_or(Command::Answered, |(code, words)| Command::Rejected(code, words)))
     }
 
     /// Serves a request and writes its one answer; false if the connection ends with it.
     async fn request(&mut self, asked: Asked<Statement>, out: &mut Vec<u8>) -> Result<bool, ClientError> {
-        let Self { node, stream, buffer } = self;
+        let Self { node, stream, buffer, .. } = self;
         let left = async {
             client_left(stream, buffer).await;
             Cut::ClientLeft
@@ -363,43 +412,32 @@
     std::future::pending().await
 }
 
-/// The place of an idle client among the others; given up when it is dropped.
-pub struct Seat<'a> {
-    node: &'a Node,
-    at: (Instant, u64),
-    /// Raised when the client has to make room.
-    pub left: Rc<Flag>,
+/// The id of a request that is open, given free when it is dropped: nobody else may use it meanwhile.
+struct OpenId {
+    node: Rc<Node>,
+    id: Box<str>,
 }
 
-impl Drop for Seat<'_> {
-    fn drop(&mut self) {
-        self.node.idle_clients.borrow_mut().remove(&self.at);
+impl OpenId {
+    /// `None` if a request with this id is open.
+    fn enter(node: &Rc<Node>, id: &str) -> Option<Self> {
+        let id: Box<str> = id.into();
+        let new = node.open_ids.borrow_mut().insert(id.clone());
+        new.then(|| Self { node: node.clone(), id })
     }
 }
 
-impl Node {
-    /// Counts a client as idle.
-    fn sit_down(&self) -> Seat<'_> {
-        let number = self.seats.get() + 1;
-        self.seats.set(number);
-        let (at, left) = ((Instant::now(), number), Rc::new(Flag::default()));
-        self.idle_clients.borrow_mut().insert(at, left.clone());
-        Seat { node: self, at, left }
-    }
-
-    /// Asks the client that has been idle longest to make room; false if all are busy.
-    fn close_idle_client(&self) -> bool {
-        let mut idle = self.idle_clients.borrow_mut();
-        let oldest = idle.first_entry().filter(|oldest| oldest.key().0.elapsed() >= LEAST_IDLE);
-        oldest.is_some_and(|oldest| {
-            oldest.remove().raise();
-            true
-        })
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.node.open_ids.borrow_mut().remove(&self.id);
     }
+}
 
+impl Node {
     /// The request that a statement makes; `None` if its class is unknown.
     fn asked(&self, statement: &str, comment: &pg::Comment<'_>) -> Option<Asked<()>> {
         let at = self.classes.iter().position(|(name, _)| name == comment.class)?;
+        let longest = Span(i64::try_from(self.longest_deadline.as_micros()).unwrap_or(i64::MAX));
         let keyed = matches!(self.classes[at].1, Need::Write | Need::Session);
         let session = pg::key(statement).filter(|_| keyed).map(|key| {
             let mut hasher = DefaultHasher::new();
@@ -410,7 +448,7 @@
             class: ClassId(at),
             session,
             group: GroupId(comment.cluster),
-            deadline: self.driver.clock.now() + Span((comment.wait_ms * 1_000.0) as i64),
+            deadline: self.driver.clock.now() + Span((comment.wait_ms * 1_000.0) as i64).min(longest),
             last_write: comment.after_ms.map(|ms| Time((ms * 1_000.0) as i64)),
             query: (),
         })
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,6 +12,7 @@
 pub mod pg;
 pub mod probes;
 pub mod request;
+pub mod seats;
 pub mod signals;
 pub mod upstream;
 
@@ -24,15 +25,19 @@
 use driver::Driver;
 use flag::Flag;
 use members::Members;
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use seats::Seats;
+use std::cell::RefCell;
+use std::collections::HashSet;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use upstream::Pool;
 
+/// Bytes that nobody wants are read so many at a time.
+const SCRATCH: usize = 64 * 1024;
+
 /// Why the daemon ended.
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
@@ -60,13 +65,11 @@
     config_file: PathBuf,
     longest_deadline: Duration,
     classes: Vec<(String, Need)>,
-    most_clients: usize,
-    spare_clients: usize,
-    /// Clients connected.
-    clients: Cell<usize>,
-    client_ended: event_listener::Event,
-    seats: Cell<u64>,
-    idle_clients: RefCell<BTreeMap<(Instant, u64), Rc<Flag>>>,
+    seats: Seats,
+    /// The clients' ids of the requests that are open.
+    open_ids: RefCell<HashSet<Box<str>>>,
+    /// Where bytes are read to that nobody wants.
+    scratch: RefCell<Vec<u8>>,
     /// Idle clients are closed.
     closing: Flag,
     /// Nobody is accepted any more.
@@ -110,12 +113,9 @@
         config_file,
         longest_deadline,
         classes,
-        most_clients: shared - most_upstream - spare_clients,
-        spare_clients,
-        clients: Cell::new(0),
-        client_ended: event_listener::Event::new(),
-        seats: Cell::new(0),
-        idle_clients: RefCell::default(),
+        seats: Seats::new(shared - most_upstream - spare_clients, spare_clients),
+        open_ids: RefCell::default(),
+        scratch: RefCell::new(vec![0; SCRATCH]),
         closing: Flag::default(),
         deaf: Flag::default(),
         ending: Flag::default(),
--- a/src/net/pg/comment.rs
+++ b/src/net/pg/comment.rs
@@ -3,9 +3,14 @@
 use super::PgError;
 use std::ops::Range;
 
+/// The longest id that a request may have.
+const LONGEST_ID: usize = 64;
+
 /// What the comment of a request says.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Comment<'a> {
+    /// The client's id of the request.
+    pub id: &'a str,
     /// The class.
     pub class: &'a str,
     /// How long the client waits, in milliseconds.
@@ -58,7 +63,7 @@
 }
 
 fn comment(statement: &str, inner: Range<usize>) -> Result<Comment<'_>, PgError> {
-    let (mut class, mut wait, mut cluster, mut after_ms) = (None, None, None, None);
+    let (mut id, mut class, mut wait, mut cluster, mut after_ms) = (None, None, None, None, None);
     let mut at = inner.start;
     for pair in statement[inner].split(',') {
         let (name, value) = pair.split_once('=').ok_or(PgError::Malformed("request comment"))?;
@@ -66,6 +71,7 @@
         at += pair.len() + 1;
         let value = value.trim();
         match name.trim() {
+            "id" => id = Some(value).filter(|id| is_id(id)),
             "c" => class = Some(value),
             "d" => wait = Some((value, from..from + value.len())),
             "cluster" => cluster = Some(value),
@@ -75,9 +81,18 @@
     }
     let missing = PgError::Malformed("request comment");
     let (wait, wait_at) = wait.ok_or(missing)?;
-    let wait_ms = wait.parse().ok().filter(|ms| (0.0..1e9).contains(ms)).ok_or(missing)?;
+    // No sign, no exponent, no 'inf' or 'nan', all of which the standard library would read.
+    let plain = wait.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    let wait_ms = wait.parse().ok().filter(|ms| plain && (0.0..1e9).contains(ms)).ok_or(missing)?;
     let cluster = cluster.map_or(Ok(0), str::parse).map_err(|_| missing)?;
-    Ok(Comment { class: class.ok_or(missing)?, wait_ms, wait_at, cluster, after_ms })
+    let (id, class) = (id.ok_or(missing)?, class.ok_or(missing)?);
+    Ok(Comment { id, class, wait_ms, wait_at, cluster, after_ms })
+}
+
+/// Whether a client's id of a request can be one.
+fn is_id(id: &str) -> bool {
+    (1..=LONGEST_ID).contains(&id.len())
+        && id.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'-')
 }
 
 /// The first quoted text of a statement, without its quotes; a doubled quote in it stays doubled.
--- /dev/null
+++ b/src/net/seats.rs
@@ -0,0 +1,182 @@
+//! The seats of client connections: how many there are, and who makes room for whom.
+//!
+//! A client with an open request keeps its seat. Of the others those go first that were told that they have to
+//! go, then those that have asked nothing yet, oldest first, then those idle longest. Clients that have asked
+//! nothing share a part of the seats among themselves, so that a silent crowd pushes out nobody but its own.
+
+use super::flag::Flag;
+use async_io::Timer;
+use event_listener::Event as Bell;
+use futures_lite::future::or;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How readily a client without an open request makes room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rank {
+    /// It was told that its connection ends.
+    Parting,
+    /// It has asked nothing yet.
+    Silent,
+    /// It is between two requests.
+    Idle,
+}
+
+impl Rank {
+    /// One that came to its seat more lately may be about to send.
+    const fn least(self) -> Duration {
+        match self {
+            Self::Parting | Self::Silent => Duration::from_millis(5),
+            Self::Idle => Duration::from_millis(20),
+        }
+    }
+}
+
+type At = (Rank, Instant, u64);
+
+/// All seats.
+#[derive(Debug)]
+pub struct Seats {
+    most: usize,
+    /// For clients that are accepted only to be refused.
+    spare: usize,
+    most_silent: usize,
+    taken: Cell<usize>,
+    number: Cell<u64>,
+    freed: Bell,
+    /// Who can be asked to go.
+    waiting: RefCell<BTreeMap<At, Rc<Flag>>>,
+    silent: Cell<usize>,
+}
+
+impl Seats {
+    /// So many seats, and a few more for those that are refused.
+    #[must_use]
+    pub fn new(most: usize, spare: usize) -> Self {
+        Self {
+            most,
+            spare,
+            most_silent: (most / 4).max(1),
+            taken: Cell::new(0),
+            number: Cell::new(0),
+            freed: Bell::new(),
+            waiting: RefCell::default(),
+            silent: Cell::new(0),
+        }
+    }
+
+    /// How many are taken, but for those whose clients have been asked to go.
+    #[must_use]
+    pub fn taken(&self) -> usize {
+        self.taken.get()
+    }
+
+    /// Waits until one more client can be accepted, others being asked to make room if need be. False if it
+    /// can only be refused: all who sit there are being served.
+    pub async fn room(&self) -> bool {
+        loop {
+            let crowd = self.silent.get() >= self.most_silent;
+            let full = self.taken.get() >= self.most;
+            if !(crowd || full) || self.ask_one_to_go(if full { Rank::Idle } else { Rank::Silent }) {
+                return true;
+            }
+            // The crowd is too young to be told from clients that are about to send.
+            if !crowd && self.taken.get() < self.most + self.spare {
+                return false;
+            }
+            let freed = self.freed.listen();
+            or(freed, async {
+                let _ = Timer::after(Rank::Silent.least()).await;
+            })
+            .await;
+        }
+    }
+
+    /// Asks one client of at most this rank to make room; false if nobody can be asked.
+    pub fn ask_one_to_go(&self, most: Rank) -> bool {
+        let waiting = self.waiting.borrow();
+        let ranks = [Rank::Parting, Rank::Silent, Rank::Idle].into_iter().filter(|rank| *rank <= most);
+        let oldest = |rank| waiting.keys().find(|at| at.0 == rank).copied();
+        let old_enough = |at: &At| at.1.elapsed() >= at.0.least();
+        let Some(at) = ranks.filter_map(oldest).find(old_enough) else { return false };
+        drop(waiting);
+        if let Some(flag) = self.leave(at) {
+            self.taken.set(self.taken.get() - 1);
+            flag.raise();
+        }
+        true
+    }
+
+    fn leave(&self, at: At) -> Option<Rc<Flag>> {
+        let flag = self.waiting.borrow_mut().remove(&at);
+        if flag.is_some() && at.0 == Rank::Silent {
+            self.silent.set(self.silent.get() - 1);
+        }
+        flag
+    }
+
+    /// Takes a seat for a new client.
+    pub fn take(&self) -> Seat<'_> {
+        self.number.set(self.number.get() + 1);
+        self.taken.set(self.taken.get() + 1);
+        Seat { seats: self, number: self.number.get(), asked: Cell::new(false) }
+    }
+}
+
+/// A client's seat, given up when it is dropped.
+#[derive(Debug)]
+pub struct Seat<'a> {
+    seats: &'a Seats,
+    number: u64,
+    /// Its client has been asked to go: the seat counts no longer.
+    asked: Cell<bool>,
+}
+
+impl Seat<'_> {
+    /// Does `work` in a state in which the client can be asked to make room; `None` if it was, and `work` had
+    /// not ended by then. What has ended goes before: a client whose request can be read stays.
+    pub async fn yielding<T>(&self, rank: Rank, since: Instant, work: impl Future<Output = T>) -> Option<T> {
+        let (flag, at) = (Rc::new(Flag::default()), (rank, since, self.number));
+        self.seats.waiting.borrow_mut().insert(at, flag.clone());
+        if rank == Rank::Silent {
+            self.seats.silent.set(self.seats.silent.get() + 1);
+        }
+        let wait = Wait { seat: self, at, flag };
+        let done = or(async { Some(work.await) }, async {
+            wait.flag.raised().await;
+            None
+        });
+        let done = done.await;
+        drop(wait);
+        if done.is_some() && self.asked.replace(false) {
+            // It stays after all.
+            self.seats.taken.set(self.seats.taken.get() + 1);
+        }
+        done
+    }
+}
+
+impl Drop for Seat<'_> {
+    fn drop(&mut self) {
+        if !self.asked.get() {
+            self.seats.taken.set(self.seats.taken.get() - 1);
+        }
+        self.seats.freed.notify(1);
+    }
+}
+
+/// A client that can be asked to go.
+struct Wait<'a> {
+    seat: &'a Seat<'a>,
+    at: At,
+    flag: Rc<Flag>,
+}
+
+impl Drop for Wait<'_> {
+    fn drop(&mut self) {
+        self.seat.seats.leave(self.at);
+        self.seat.asked.set(self.flag.is_up());
+    }
+}
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -65,18 +65,18 @@
 /// Serves on while connections arrive, closes clients as they fall idle, and ends when none is left.
 async fn drain(node: &Node) {
     let started = Instant::now();
-    super::log(&format_args!("draining with {} clients connected", node.clients.get()));
+    super::log(&format_args!("draining with {} clients connected", node.seats.taken()));
     Timer::after(ARRIVALS).await;
     node.closing.raise();
     Timer::after(STRAGGLERS).await;
     node.deaf.raise();
     let last = node.longest_deadline.min(LONGEST_COUNTED) + KILL_GRACE - MARGIN;
-    while node.clients.get() > 0 && started.elapsed() < last {
+    while node.seats.taken() > 0 && started.elapsed() < last {
         Timer::after(LOOK).await;
     }
     node.ending.raise();
     let last = last + FLUSH;
-    while node.clients.get() > 0 && started.elapsed() < last {
+    while node.seats.taken() > 0 && started.elapsed() < last {
         Timer::after(LOOK).await;
     }
     node.ended.raise();
