Answers are taken strictly, and none from what follows an earlier answer

Seen in a story with a server that sends a copy just behind its answer in a second write: the next request on that connection was answered with the copy, a value that no server made for it. The idle check in `Connection::usable` looks before the query is written; the copy came after.

Also at fault, `read_answer` in src/net/upstream.rs: T, D and C in any order and number (no row, two rows, no description were passed on), NULL, any error fields after a value; 256 KiB of patience with any length; and `pg::report`, which took infinite, negative or lacking fields.

Now `pg::Answer` takes an answer message by message and gives an error at the first that has no place; lengths are bounded by kind from the head on. A connection that brought an answer within the last second answers an empty query first, which the protocol gives an immediate answer without effect; what comes before that is nobody's, and nothing has been sent yet. Connections used less than 20 ms ago rest while there are others.

--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -38,6 +38,8 @@
     pub gone: Count,
     /// Connections opened to servers.
     pub dials: Count,
+    /// Connections closed for what came behind an answer.
+    pub unsettled: Count,
     /// Times that a connection had to wait for room in the own budget.
     pub short: Count,
     /// Probes sent.
@@ -85,6 +87,7 @@
             ("failed", &self.failed),
             ("gone", &self.gone),
             ("dials", &self.dials),
+            ("unsettled", &self.unsettled),
             ("short", &self.short),
             ("probes", &self.probes),
             ("reloads", &self.reloads),
--- a/src/net/pg/backend.rs
+++ b/src/net/pg/backend.rs
@@ -1,8 +1,11 @@
 //! What a server sends.
 
-use super::{PgError, text};
+use super::{LONGEST_VALUE, Message, PgError, bounded, text};
 use crate::interface::{Field, Note, Role, Time};
 
+/// No position of a log is a Unix time in seconds beyond this.
+const LATEST_POSITION: f64 = 1e11;
+
 /// The SQLSTATE of an error.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Code(pub [u8; 5]);
@@ -36,6 +39,124 @@
     code.map(|code| ErrorFields { code, fatal }).ok_or(bad)
 }
 
+/// The first message in `data` from a server; `None` while it is not all there. What no answer has is known
+/// from its head, so that nothing of it is waited for.
+///
+/// # Errors
+///
+/// When it is of no kind that a server sends here, or its length is not one that its kind has.
+pub fn server_message(data: &[u8]) -> Result<Option<Message<'_>>, PgError> {
+    let Some(&tag) = data.first() else { return Ok(None) };
+    let most = match tag {
+        b'D' => LONGEST_VALUE + 10,
+        b'E' | b'N' | b'A' => 8 * 1024,
+        b'S' | b'T' => 1_024,
+        b'R' | b'K' | b'C' => 256,
+        b'Z' => 5,
+        b'I' => 4,
+        _ => return Err(PgError::Malformed("message type")),
+    };
+    bounded(data, most)
+}
+
+/// One answer, taken message by message: RowDescription of one column, one DataRow, CommandComplete; or an
+/// ErrorResponse. ReadyForQuery ends it. Anything else spoils it, and nothing that it told counts.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    stage: Stage,
+    notes: Notes,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Stage {
+    #[default]
+    Start,
+    Described,
+    Row,
+    Complete,
+    Failed(ErrorFields),
+    Ready,
+}
+
+/// What a message is in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// A message of the value, to be passed on; the row's value is the last so many bytes of it.
+    Value(usize),
+    /// Nothing to pass on.
+    Aside,
+    /// The end of the connection comes with it.
+    Fatal,
+    /// The answer is over.
+    Ready,
+}
+
+impl Answer {
+    /// Takes the next message.
+    ///
+    /// # Errors
+    ///
+    /// When it has no place there, or does not hold together: the answer is spoilt.
+    pub fn take(&mut self, message: &Message<'_>) -> Result<Part, PgError> {
+        let (body, part) = (message.body, Part::Value(0));
+        let (stage, part) = match (self.stage, message.tag) {
+            (Stage::Start, b'T') if one_column(body) => (Stage::Described, part),
+            (Stage::Described, b'D') => {
+                let value = row_value(body)?.ok_or(PgError::Malformed("row"))?;
+                (Stage::Row, Part::Value(value.len()))
+            }
+            (Stage::Row, b'C') if is_tag(body) => (Stage::Complete, part),
+            (Stage::Start, b'E') => {
+                let fields = error_fields(body)?;
+                (Stage::Failed(fields), if fields.fatal { Part::Fatal } else { Part::Aside })
+            }
+            (Stage::Complete | Stage::Failed(_), b'Z') if ready(body) => (Stage::Ready, Part::Ready),
+            (stage, b'S') => {
+                let (name, value) = parameter(body)?;
+                self.notes.take(name, value);
+                (stage, Part::Aside)
+            }
+            (stage, b'N' | b'A') => (stage, Part::Aside),
+            _ => return Err(PgError::Malformed("answer")),
+        };
+        if stage != Stage::Ready {
+            self.stage = stage;
+        }
+        Ok(part)
+    }
+
+    /// Whether the value, or the error, is all there.
+    #[must_use]
+    pub fn whole(&self) -> bool {
+        matches!(self.stage, Stage::Complete | Stage::Failed(_))
+    }
+
+    /// The code of the error that it is, if it is one.
+    #[must_use]
+    pub fn failed(&self) -> Option<Code> {
+        if let Stage::Failed(fields) = self.stage { Some(fields.code) } else { None }
+    }
+
+    /// What came beside it.
+    #[must_use]
+    pub fn into_notes(self) -> Notes {
+        self.notes
+    }
+}
+
+/// Whether a RowDescription describes one column.
+fn one_column(body: &[u8]) -> bool {
+    let Some((&[0, 1], rest)) = body.split_first_chunk::<2>() else { return false };
+    text(rest, "column").is_ok_and(|(_, rest)| rest.len() == 18)
+}
+
+/// Whether the body of a CommandComplete is one.
+fn is_tag(body: &[u8]) -> bool {
+    text(body, "tag").is_ok_and(|(tag, rest)| {
+        rest.is_empty() && !tag.is_empty() && tag.bytes().all(|byte| byte == b' ' || byte.is_ascii_graphic())
+    })
+}
+
 /// The name and value of a ParameterStatus.
 ///
 /// # Errors
@@ -43,8 +164,10 @@
 /// When they are not two texts.
 pub fn parameter(body: &[u8]) -> Result<(&str, &str), PgError> {
     let (name, rest) = text(body, "parameter")?;
-    let (value, _) = text(rest, "parameter")?;
-    Ok((name, value))
+    match text(rest, "parameter")? {
+        (value, []) => Ok((name, value)),
+        _ => Err(PgError::Malformed("parameter")),
+    }
 }
 
 /// Whether the body of a ReadyForQuery is one.
@@ -108,14 +231,22 @@
     }
 }
 
-/// A load report such as `inflight=7,util=0.61` in the order of `fields`; what it leaves out is no number.
+/// A load report such as `inflight=7,util=0.61` in the order of `fields`. One that lacks a field, has it twice or
+/// gives it a value that it can't have is no report, and changes nothing.
 #[must_use]
 pub fn report(gauges: &str, fields: &[(String, Field)]) -> Option<Vec<f64>> {
-    let pairs: Vec<_> = gauges.split(',').filter_map(|pair| pair.trim().split_once('=')).collect();
-    let value = |name: &str| {
-        let (_, text) = pairs.iter().find(|(at, _)| at.trim() == name)?;
-        text.trim().parse().ok()
+    let pairs: Option<Vec<_>> = gauges.split(',').map(|pair| pair.trim().split_once('=')).collect();
+    let pairs = pairs?;
+    let value = |(name, field): &(String, Field)| {
+        let mut found = pairs.iter().filter(|(at, _)| at.trim() == name).map(|(_, text)| text.trim());
+        let value: f64 = found.next().filter(|_| found.next().is_none())?.parse().ok()?;
+        let can_be = match field {
+            Field::Position => value < LATEST_POSITION,
+            Field::Primary => value == 0.0 || value == 1.0,
+            Field::Other => true,
+        };
+        Some(value).filter(|value| can_be && value.is_finite() && *value >= 0.0)
     };
-    let values: Vec<f64> = fields.iter().map(|(name, _)| value(name).unwrap_or(f64::NAN)).collect();
-    values.iter().any(|value| value.is_finite()).then_some(values)
+    let values: Option<Vec<f64>> = fields.iter().map(value).collect();
+    values.filter(|values| !values.is_empty())
 }
--- a/src/net/pg/mod.rs
+++ b/src/net/pg/mod.rs
@@ -6,12 +6,16 @@
 mod frontend;
 pub mod write;
 
-pub use backend::{Code, ErrorFields, Notes, error_fields, parameter, ready, report, row_value};
+pub use backend::{
+    Answer, Code, ErrorFields, Notes, Part, error_fields, parameter, ready, report, row_value, server_message,
+};
 pub use comment::{Asks, Comment, key, request};
 pub use frontend::{Startup, query_text, startup};
 
-/// The longest message taken from either side. A value of 64 KiB doubles as hex digits in a statement.
-pub const LONGEST: usize = 256 * 1024;
+/// The longest value.
+pub const LONGEST_VALUE: usize = 64 * 1024;
+/// The longest message taken from a client: a value doubles as hex digits in a statement.
+pub const LONGEST: usize = 2 * LONGEST_VALUE + 4 * 1024;
 /// The longest startup message, as PostgreSQL has it.
 pub const LONGEST_STARTUP: usize = 10_000;
 
@@ -40,14 +44,19 @@
     pub size: usize,
 }
 
-/// The first message in `data`; `None` while it is not all there.
+/// The first message in `data` from a client; `None` while it is not all there.
 ///
 /// # Errors
 ///
 /// When the length is impossible or over [`LONGEST`].
 pub fn message(data: &[u8]) -> Result<Option<Message<'_>>, PgError> {
+    bounded(data, LONGEST)
+}
+
+/// The first message in `data`, if its length is no more than this.
+fn bounded(data: &[u8], most: usize) -> Result<Option<Message<'_>>, PgError> {
     let Some((&tag, rest)) = data.split_first() else { return Ok(None) };
-    let Some(length) = length(rest, LONGEST)? else { return Ok(None) };
+    let Some(length) = length(rest, most)? else { return Ok(None) };
     let body = rest.get(4..length);
     Ok(body.map(|body| Message { tag, body, size: 1 + length }))
 }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -3,7 +3,7 @@
 use super::buffer::{ReadBuffer, write_all};
 use super::counters::Counters;
 use super::members::Members;
-use super::pg::{self, Code, Notes, PgError};
+use super::pg::{self, Code, Notes, Part, PgError};
 use super::request::{Carrier, Ended};
 use crate::config::HostSettings;
 use crate::interface::*;
@@ -28,6 +28,16 @@
 /// How long what waits for room looks away, should nobody tell it.
 const SHORT_PAUSE: Duration = Duration::from_millis(20);
 
+/// More than this no answer takes up, notices and all.
+const LONGEST_ANSWER: usize = 2 * pg::LONGEST_VALUE;
+/// What a server sends too much comes just behind an answer, and must not be taken for the next. So a connection
+/// rests for this long after one while there are others,
+const RESTED: Duration = Duration::from_millis(20);
+/// and until so long after it has to answer an empty query first, with nothing before that and nothing behind.
+const SETTLED: Duration = Duration::from_secs(1);
+/// An empty query.
+const PING: &[u8] = b"Q\0\0\0\x05\0";
+
 /// A statement of a client, in the buffer that it was read into. Only the wait is rewritten for an attempt.
 #[derive(Debug)]
 pub struct Statement {
@@ -97,6 +107,33 @@
     }
 }
 
+impl Connection {
+    /// Has an empty query answered, with nothing before the answer and nothing behind it.
+    async fn settle(&mut self) -> Result<(), Lost> {
+        write_all(&self.stream, &[PING]).await?;
+        let mut empty = false;
+        loop {
+            while let Some(message) = pg::server_message(self.buffer.data())? {
+                let (tag, size) = (message.tag, message.size);
+                let ready = tag == b'Z' && empty && pg::ready(message.body);
+                match tag {
+                    b'I' if !empty => empty = true,
+                    b'S' | b'N' if empty => {}
+                    _ if ready => {}
+                    _ => return Err(Lost::Broken),
+                }
+                self.buffer.consume(size);
+                if ready {
+                    return if self.buffer.data().is_empty() { Ok(()) } else { Err(Lost::Broken) };
+                }
+            }
+            if self.buffer.fill(&self.stream).await? == 0 {
+                return Err(Lost::Broken);
+            }
+        }
+    }
+}
+
 /// How far an attempt has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
@@ -116,6 +153,8 @@
     Short,
     /// The connection failed.
     Broken,
+    /// It did not come up in time.
+    Silent,
     /// The member is not to be sent anything new.
     Withdrawn,
     /// The server said no before the query.
@@ -207,17 +246,19 @@
         self.idle.borrow_mut().entry(member.clone()).or_default().push_back(connection);
     }
 
-    /// A free connection; the latest used first, so that the others can grow old and go.
+    /// A free connection; the latest used first, so that the others can grow old and go, but for those that
+    /// have only just brought an answer.
     fn free(&self, member: &MemberId) -> Option<Connection> {
         let address = self.members.address(member);
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(member)?;
-        while let Some(connection) = connections.pop_back() {
+        loop {
+            let settled = connections.iter().rposition(|one| one.idle_since.elapsed() >= RESTED);
+            let connection = connections.remove(settled.or(connections.len().checked_sub(1))?)?;
             if connection.usable(address, self.longest_idle()) {
                 return Some(connection);
             }
         }
-        None
     }
 
     /// Room for one more connection, made by closing an idle one if need be. It waits while there is none:
@@ -235,19 +276,33 @@
         Permit(self.budget.clone())
     }
 
+    /// What `work` gives within the time that a connection may take to come up; silence then is no connection.
+    async fn bounded<T>(&self, work: impl Future<Output = Result<T, Lost>>) -> Result<T, Lost> {
+        let limit = async {
+            Timer::after(self.host.dial_timeout).await;
+            Err(Lost::Silent)
+        };
+        or(work, limit).await
+    }
+
     async fn connection(&self, member: &MemberId, stage: &Cell<Stage>) -> Result<Connection, Lost> {
         loop {
-            if let Some(connection) = self.free(member) {
-                return Ok(connection);
+            while let Some(mut connection) = self.free(member) {
+                if connection.idle_since.elapsed() >= SETTLED {
+                    return Ok(connection);
+                }
+                stage.set(Stage::Dialing);
+                match self.bounded(connection.settle()).await {
+                    Ok(()) => return Ok(connection),
+                    Err(Lost::Silent) => return Err(Lost::Silent),
+                    // It has ended, or brought what was nobody's: it is closed, with nothing sent on it.
+                    Err(_) => self.counters.unsettled.add(),
+                }
             }
             stage.set(Stage::Waiting);
             let permit = self.permit().await;
             stage.set(Stage::Dialing);
-            let limit = async {
-                Timer::after(self.host.dial_timeout).await;
-                Err(Lost::Broken)
-            };
-            match or(self.dial(member, permit), limit).await {
+            match self.bounded(self.dial(member, permit)).await {
                 // The system is out of something though the budget is not: wait, and let an idle one go.
                 Err(Lost::Short) => {
                     stage.set(Stage::Waiting);
@@ -270,7 +325,7 @@
         write_all(&stream, &[&hello]).await?;
         let mut buffer = ReadBuffer::default();
         loop {
-            while let Some(message) = pg::message(buffer.data())? {
+            while let Some(message) = pg::server_message(buffer.data())? {
                 let (tag, size) = (message.tag, message.size);
                 match tag {
                     b'E' => return Err(Lost::Said(pg::error_fields(message.body)?.code)),
@@ -393,61 +448,44 @@
     }
 }
 
-/// Reads an answer up to ReadyForQuery; what was whole before the connection ended counts.
+/// Reads one answer up to ReadyForQuery; what was whole before the connection ended counts. A spoilt one may
+/// have run, like one that never came.
 async fn read_answer(stream: &Async<TcpStream>, buffer: &mut ReadBuffer) -> Result<Exchange, Lost> {
-    let mut ended: Option<Verdict> = None;
-    let mut notes = Notes::default();
+    let mut answer = pg::Answer::default();
     let mut pieces: Vec<Range<usize>> = Vec::new();
     let (mut value, mut at, mut ready) = (None, 0, false);
     'reading: loop {
-        while let Some(message) = pg::message(&buffer.data()[at..])? {
+        while let Some(message) = pg::server_message(&buffer.data()[at..])? {
             let piece = at..at + message.size;
-            let body = at + message.size - message.body.len();
             at = piece.end;
-            match message.tag {
-                b'T' | b'C' | b'D' => {
+            match answer.take(&message)? {
+                Part::Value(size) => {
                     if message.tag == b'D' {
-                        let found = pg::row_value(message.body)?;
-                        let end = body + message.body.len();
-                        value = found.map(|found| end - found.len()..end);
-                    }
-                    if message.tag == b'C' {
-                        ended = ended.or(Some(Verdict::Ok));
+                        value = Some(at - size..at);
                     }
                     match pieces.last_mut().filter(|last| last.end == piece.start) {
                         Some(last) => last.end = piece.end,
                         None => pieces.push(piece),
                     }
                 }
-                b'E' => {
-                    let fields = pg::error_fields(message.body)?;
-                    ended = Some(verdict(fields.code));
-                    if fields.fatal {
-                        break 'reading;
-                    }
-                }
-                b'S' => {
-                    let (name, value) = pg::parameter(message.body)?;
-                    notes.take(name, value);
-                }
-                b'Z' if ended.is_some() => {
-                    ready = pg::ready(message.body);
+                Part::Aside => {}
+                Part::Fatal => break 'reading,
+                Part::Ready => {
+                    ready = true;
                     break 'reading;
                 }
-                b'N' | b'A' => {}
-                _ => return Err(Lost::Broken),
             }
         }
         // More than any answer has means that the stream makes no sense; it is not kept in memory.
-        if buffer.data().len() > 2 * pg::LONGEST {
+        if buffer.data().len() > LONGEST_ANSWER {
             return Err(Lost::Broken);
         }
         match buffer.fill(stream).await {
             Ok(1..) => {}
-            Ok(0) | Err(_) if ended.is_some() => break,
+            Ok(0) | Err(_) if answer.whole() => break,
             _ => return Err(Lost::Broken),
         }
     }
-    let verdict = ended.ok_or(Lost::Broken)?;
-    Ok(Exchange { verdict, notes, pieces, value, size: at, ready })
+    let verdict = answer.failed().map_or(Verdict::Ok, verdict);
+    Ok(Exchange { verdict, notes: answer.into_notes(), pieces, value, size: at, ready })
 }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -159,6 +159,13 @@
                 wire.put(&out);
                 while let Some((b'Q', body)) = wire.message() {
                     let statement = pg::query_text(&body).unwrap();
+                    if statement.is_empty() {
+                        let mut out = Vec::new();
+                        write::empty_query(&mut out);
+                        write::ready(&mut out);
+                        wire.put(&out);
+                        continue;
+                    }
                     if !statement.starts_with("SHOW") {
                         log.lock().unwrap().push(statement.to_owned());
                     }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -223,6 +223,55 @@
     assert!(counters.contains(" outcome.ok=3 ") && counters.contains(" outcome.reset=0 "), "{counters}");
 }
 
+#[test]
+fn a_spoilt_answer_is_never_passed_on() {
+    let column: &[u8] = b"T\0\0\0\x20\0\x01content\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01";
+    let (row, tag): (&[u8], &[u8]) = (b"D\0\0\0\x0c\0\x01\0\0\0\x02ab", b"C\0\0\0\x0dSELECT 1\0");
+    let ready: &[u8] = b"Z\0\0\0\x05I";
+    let spoilt = [
+        [b"noise".as_slice(), row, tag, ready].concat(),
+        [row, tag, ready].concat(),
+        [column, tag, ready].concat(),
+        [column, row, row, tag, ready].concat(),
+        [column, row, tag, tag, ready].concat(),
+        [tag, row, column, ready].concat(),
+        [column, b"D\0\0\0\x0c\0\x01\0\0\0\x07ab", tag, ready].concat(),
+        [column, b"D\0\0\0\x0a\0\x01\xff\xff\xff\xff", tag, ready].concat(),
+        [column, b"D\xb2\xd0\x5e\0\0\x01\xb2\xd0\x5d\xf6".as_slice(), &[b'x'; 65_536]].concat(),
+        [column, row, b"C\0\0\0\x0dSELECT 1!", ready].concat(),
+        [b"E\0\0\0\x0aC5330".as_slice(), ready].concat(),
+    ];
+    let count = spoilt.len();
+    let spoils = std::sync::atomic::AtomicUsize::new(0);
+    let server = Server::new("s-1", move |wire, statement| {
+        // The first attempt of each request is spoilt, while the connection stays open. The second brings more
+        // than belongs to it: a copy just behind.
+        let id = statement.split_once("id=").unwrap().1.split_once(',').unwrap().0;
+        let id: usize = id.parse().unwrap();
+        if spoils.fetch_max(id + 1, Ordering::Relaxed) <= id {
+            wire.put(&spoilt[id % count]);
+        } else {
+            let value = format!("value {id}");
+            wire.row(value.as_bytes(), "replica", NOW_MS);
+            wire.row(value.as_bytes(), "replica", NOW_MS);
+        }
+        true
+    });
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let mut client = Client::connect(&pooler);
+    for id in 0..count {
+        let answer = client.ask(&menu(&id.to_string()));
+        let value = answer.value.map(|value| String::from_utf8(value).unwrap());
+        assert_eq!((answer.tags.as_str(), value), ("TDCZ", Some(format!("value {id}"))));
+    }
+    assert_eq!(server.got().len(), 2 * count);
+    // What may have run and must not run twice has failed.
+    let answer = client.ask(&top_up(&count.to_string()));
+    assert_eq!((answer.tags.as_str(), answer.code.as_deref()), ("EZ", Some("08007")));
+    assert_eq!(server.got().len(), 2 * count + 1);
+}
+
 #[test]
 fn a_dropped_watch_is_taken_up_again_where_it_ended() {
     let server = plain("s-9", "replica");
