Resets are no restarts, warm sends no debt, and kept connections are asked first

A probe printed what the module held of each member: within seconds all nine stood at a limit of 1, warm 0.2 and a cold credit of -10 to -97; the sockets had shown 39 resets of new connections, 27 refusals and 448 resets after the last byte, 363 of them on kept connections that the servers had closed unseen. Ruled out: crowding (0.08), ejections (a few, up to 2 s), own shortage (51 connections).

At fault: `Router::send` booked each send against the cold credit of warm members too, and `judge` takes that credit over when a connection fails, so one failure cost a busy member its work for many seconds; `Pool::within` told a reset from a living server as "no connection", which the module rightly takes for a restart; `Connection::usable` can't see a close that the server has not shown.

Now the credit does not fall below none, such a break is an outcome of its own that never ran, counts like a lost answer and moves no mark, and every kept connection answers an empty query before it carries a request.

The two tests of the module and the story fail without it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -407,7 +407,8 @@
         let attempt = AttemptNo(open.attempts.len() as u32);
         open.attempts.push(Attempt { member: member.clone(), open: true, errored: false });
         m.out.insert((id, attempt), Out { sent: now, class: open.class, session: open.session, need });
-        m.credit = (now, credit - 1.0);
+        // What it is sent while it is warm is no debt to be paid off once it is cold.
+        m.credit = (now, (credit - 1.0).max(0.0));
         actions.push(Action::Send { request: id, member, timeout: timeout.min(last - now) });
     }
 
@@ -488,7 +489,7 @@
         // Proof that nothing ran at the mark moves it to the next member; not what was never sent to it.
         if write && verdict.never_ran() {
             let gid = open.group;
-            if !matches!(verdict, Verdict::Full | Verdict::Moot) {
+            if !matches!(verdict, Verdict::Full | Verdict::Moot | Verdict::Broken) {
                 open.misses += 1;
                 let next = self.next_member(gid, Some(&member));
                 if let Some(group) = self.groups.get_mut(&gid).filter(|g| g.mark.as_ref() == Some(&member)) {
@@ -629,7 +630,7 @@
             }
             // A member that answered others meanwhile is crowded, not dead: ejecting for it would eject all.
             Verdict::Timeout if !lone => m.crowded(now, took),
-            Verdict::Timeout | Verdict::Reset => m.strike(now, LOST_ANSWER),
+            Verdict::Timeout | Verdict::Reset | Verdict::Broken => m.strike(now, LOST_ANSWER),
             // It was down, so if it comes back it is cold, whatever the list says.
             Verdict::ConnectFailed => {
                 m.strike(now, NO_CONNECTION);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -360,8 +360,10 @@
     Full,
     /// No answer in time; it may have run.
     Timeout,
-    /// No connection; it never ran.
+    /// No connection: nobody listens, or nobody answers; it never ran.
     ConnectFailed,
+    /// A connection to a member that lives broke before all was sent; it never ran.
+    Broken,
     /// The connection broke; it may have run.
     Reset,
     /// Called off; it may have run.
@@ -376,7 +378,7 @@
     /// Whether the outcome proves that nothing ran.
     #[must_use]
     pub const fn never_ran(self) -> bool {
-        matches!(self, Self::Full | Self::ConnectFailed | Self::Moot | Self::Miss)
+        matches!(self, Self::Full | Self::ConnectFailed | Self::Broken | Self::Moot | Self::Miss)
     }
 }
 
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -30,13 +30,14 @@
 
 /// More than this no answer takes up, notices and all.
 const LONGEST_ANSWER: usize = 2 * pg::LONGEST_VALUE;
-/// What a server sends too much comes just behind an answer, and must not be taken for the next. So a connection
-/// rests for this long after one while there are others,
+/// What a server sends too much comes just behind an answer, and must not be taken for the next: a connection
+/// rests for this long after one while there are others.
 const RESTED: Duration = Duration::from_millis(20);
-/// and until so long after it has to answer an empty query first, with nothing before that and nothing behind.
-const SETTLED: Duration = Duration::from_secs(1);
-/// An empty query.
+/// An empty query. A kept connection has to answer it, with nothing before that and nothing behind, before it
+/// carries a request: some are closed without a sign of it until the next write, which would be lost.
 const PING: &[u8] = b"Q\0\0\0\x05\0";
+/// After so many kept connections that did not, a new one is opened.
+const MOST_PINGS: usize = 2;
 
 /// A statement of a client, in the buffer that it was read into. Only the wait is rewritten for an attempt.
 #[derive(Debug)]
@@ -139,7 +140,7 @@
 enum Stage {
     /// Waiting for room in the own budget.
     Waiting,
-    /// Opening a connection.
+    /// Opening a connection, or asking whether a kept one lives.
     Dialing,
     /// The statement's last byte is not written yet.
     Writing,
@@ -151,10 +152,10 @@
 enum Lost {
     /// No descriptor or port was to be had here.
     Short,
-    /// The connection failed.
+    /// Nobody listens, or nobody answers.
+    Down,
+    /// The connection broke: somebody was there.
     Broken,
-    /// It did not come up in time.
-    Silent,
     /// The member is not to be sent anything new.
     Withdrawn,
     /// The server said no before the query.
@@ -280,21 +281,19 @@
     async fn bounded<T>(&self, work: impl Future<Output = Result<T, Lost>>) -> Result<T, Lost> {
         let limit = async {
             Timer::after(self.host.dial_timeout).await;
-            Err(Lost::Silent)
+            Err(Lost::Down)
         };
         or(work, limit).await
     }
 
     async fn connection(&self, member: &MemberId, stage: &Cell<Stage>) -> Result<Connection, Lost> {
         loop {
-            while let Some(mut connection) = self.free(member) {
-                if connection.idle_since.elapsed() >= SETTLED {
-                    return Ok(connection);
-                }
+            for _ in 0..MOST_PINGS {
+                let Some(mut connection) = self.free(member) else { break };
                 stage.set(Stage::Dialing);
                 match self.bounded(connection.settle()).await {
                     Ok(()) => return Ok(connection),
-                    Err(Lost::Silent) => return Err(Lost::Silent),
+                    Err(Lost::Down) => return Err(Lost::Down),
                     // It has ended, or brought what was nobody's: it is closed, with nothing sent on it.
                     Err(_) => self.counters.unsettled.add(),
                 }
@@ -316,9 +315,13 @@
     }
 
     async fn dial(&self, member: &MemberId, permit: Permit) -> Result<Connection, Lost> {
-        let address = self.members.address(member).ok_or(Lost::Broken)?;
+        let address = self.members.address(member).ok_or(Lost::Down)?;
         self.counters.dials.add();
-        let stream = Async::<TcpStream>::connect(address).await?;
+        let stream = Async::<TcpStream>::connect(address).await.map_err(|error| match error.kind() {
+            io::ErrorKind::ConnectionReset => Lost::Broken,
+            _ if shortage(&error) => Lost::Short,
+            _ => Lost::Down,
+        })?;
         stream.get_ref().set_nodelay(true)?;
         let mut hello = Vec::with_capacity(64);
         pg::write::startup(&mut hello, USER, DATABASE);
@@ -385,7 +388,8 @@
             // no connection while dialing, it made no difference on days with unreachable members.
             (None, Stage::Dialing | Stage::Sent) => Err(Verdict::Timeout),
             (Some(Err(_)), Stage::Sent) => Err(Verdict::Reset),
-            (None, Stage::Writing) | (Some(Err(_)), _) => Err(Verdict::ConnectFailed),
+            (None, Stage::Writing) | (Some(Err(Lost::Down)), _) => Err(Verdict::ConnectFailed),
+            (Some(Err(_)), _) => Err(Verdict::Broken),
         }
     }
 
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -138,11 +138,33 @@
         Self::with_door(id, || {}, act)
     }
 
+    /// One whose script gets the empty queries as well.
+    pub fn raw(id: &'static str, act: impl Fn(&mut Wire, &str) -> bool + Send + Sync + 'static) -> Self {
+        Self::start(id, || {}, act)
+    }
+
     /// One that calls `door` before it welcomes a connection.
     pub fn with_door(
         id: &'static str,
         door: impl Fn() + Send + Sync + 'static,
         act: impl Fn(&mut Wire, &str) -> bool + Send + Sync + 'static,
+    ) -> Self {
+        Self::start(id, door, move |wire, statement| {
+            if statement.is_empty() {
+                let mut out = Vec::new();
+                write::empty_query(&mut out);
+                write::ready(&mut out);
+                wire.put(&out);
+                return true;
+            }
+            act(wire, statement)
+        })
+    }
+
+    fn start(
+        id: &'static str,
+        door: impl Fn() + Send + Sync + 'static,
+        act: impl Fn(&mut Wire, &str) -> bool + Send + Sync + 'static,
     ) -> Self {
         let got = Arc::new(Mutex::new(Vec::new()));
         let (log, scripts) = (got.clone(), Arc::new((door, act)));
@@ -159,14 +181,7 @@
                 wire.put(&out);
                 while let Some((b'Q', body)) = wire.message() {
                     let statement = pg::query_text(&body).unwrap();
-                    if statement.is_empty() {
-                        let mut out = Vec::new();
-                        write::empty_query(&mut out);
-                        write::ready(&mut out);
-                        wire.put(&out);
-                        continue;
-                    }
-                    if !statement.starts_with("SHOW") {
+                    if !statement.is_empty() && !statement.starts_with("SHOW") {
                         log.lock().unwrap().push(statement.to_owned());
                     }
                     if !scripts.1(&mut wire, statement) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -99,6 +99,45 @@
     }
 }
 
+#[test]
+fn what_a_warm_member_was_sent_is_no_debt_when_it_is_cold() {
+    let mut host = Host::new(settings(), 1);
+    let ask = |host: &mut Host| {
+        let (id, actions) = host.ask(ANY);
+        (id, !sends(&actions).is_empty())
+    };
+    // More than the cold budget would ever allow, all of it served well.
+    for _ in 0..400 {
+        let (id, sent) = ask(&mut host);
+        assert!(sent);
+        host.now = host.now + Span::millis(5);
+        host.end(id, 0, 1, Verdict::Ok);
+    }
+    let (id, _) = ask(&mut host);
+    host.end(id, 0, 1, Verdict::ConnectFailed);
+    host.tell(Event::Gone(id));
+    host.pass(500);
+    assert!((0..10).any(|_| {
+        let (id, sent) = ask(&mut host);
+        host.tell(Event::Gone(id));
+        host.pass(50);
+        sent
+    }));
+}
+
+#[test]
+fn a_connection_that_broke_unsent_is_no_restart_and_moves_no_mark() {
+    let mut host = with_primary(settings());
+    let (id, actions) = host.ask(UNSAFE);
+    assert_eq!(sends(&actions), [member(1)]);
+    let actions = host.end(id, 0, 1, Verdict::Broken);
+    assert_eq!(sends(&actions), [member(1)], "sent again, to the same, at once");
+    host.end_with(id, 1, 1, Verdict::Ok, Some(Role::Primary));
+    // It is not taken for cold: a burst of writes goes through.
+    let burst: Vec<_> = (0..3).map(|_| host.ask(UNSAFE).1).collect();
+    assert!(burst.iter().all(|actions| sends(actions) == [member(1)]), "{burst:?}");
+}
+
 #[test]
 fn a_member_that_comes_and_goes_is_remembered_across_its_turns() {
     // One good answer used to clear a member's ejections, so a flapping one was trusted anew at each turn.
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -223,6 +223,26 @@
     assert!(counters.contains(" outcome.ok=3 ") && counters.contains(" outcome.reset=0 "), "{counters}");
 }
 
+#[test]
+fn a_kept_connection_that_breaks_at_the_next_write_loses_no_request() {
+    // The server gives each connection up after one answer, but only shows it when something more is written.
+    let server = Server::raw("s-1", |wire, statement| {
+        if !statement.is_empty() {
+            wire.row(b"done", "master", NOW_MS);
+        }
+        !statement.is_empty() && wire.message().is_none()
+    });
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "master")]);
+    let mut client = Client::connect(&pooler);
+    for id in ["1", "2", "3"] {
+        assert_eq!(client.ask(&top_up(id)).value.as_deref(), Some(&b"done"[..]));
+    }
+    assert_eq!(server.got().len(), 3);
+    let counters = pooler.counters();
+    assert!(counters.contains(" unsettled=2 ") && counters.contains(" outcome.reset=0 "), "{counters}");
+}
+
 #[test]
 fn a_spoilt_answer_is_never_passed_on() {
     let column: &[u8] = b"T\0\0\0\x20\0\x01content\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01";
