A member that was cut off is not taken for one that started anew

A refusal shows that the process is down; silence shows nothing of it.

Now silence is an outcome of its own, Unreachable: ejected as before, the mark moves as before, one request at a time at first, but no cold time. The list still says when a member has started.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -186,7 +186,7 @@
             Event::Probed { member, verdict, took, report } => {
                 // An answered probe is no sign of life: it passes beside the queue of a member that hangs.
                 self.report(now, &member, report.as_deref());
-                if verdict == Verdict::ConnectFailed {
+                if matches!(verdict, Verdict::ConnectFailed | Verdict::Unreachable) {
                     self.judge(now, &member, verdict, took, None);
                 }
             }
@@ -451,7 +451,7 @@
         let Outcome { request: id, attempt, member, mut verdict, note, took, closed, report } = outcome;
         // A member that answered others meanwhile is not down: it was this connection.
         let lives = self.members.get(&member).is_some_and(|m| m.heard > now - took);
-        if lives && verdict == Verdict::ConnectFailed {
+        if lives && matches!(verdict, Verdict::ConnectFailed | Verdict::Unreachable) {
             verdict = Verdict::Broken;
         }
         let out = self.members.get_mut(&member).and_then(|m| m.out.remove(&(id, attempt)));
@@ -641,6 +641,12 @@
                 m.strike(now, NO_CONNECTION);
                 m.start(now, now, credit.min(dice));
             }
+            // Silent, or cut off: it need not have started anew. The list says so if it has; until then a few
+            // at a time show what it can do.
+            Verdict::Unreachable => {
+                m.strike(now, NO_CONNECTION);
+                m.limit = LEAST_LIMIT;
+            }
             // Full, or draining: let it rest for as long as an answer takes, or the whole group is hammered.
             Verdict::Full => {
                 m.crowded(now, took);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -360,8 +360,10 @@
     Full,
     /// No answer in time; it may have run.
     Timeout,
-    /// No connection: nobody listens, or nobody answers; it never ran.
+    /// No connection: nobody listens; it never ran.
     ConnectFailed,
+    /// No connection: nobody answers, be it that the member is gone or that the way to it is; it never ran.
+    Unreachable,
     /// A connection to a member that lives broke before all was sent; it never ran.
     Broken,
     /// The connection broke; it may have run.
@@ -378,7 +380,10 @@
     /// Whether the outcome proves that nothing ran.
     #[must_use]
     pub const fn never_ran(self) -> bool {
-        matches!(self, Self::Full | Self::ConnectFailed | Self::Broken | Self::Moot | Self::Miss)
+        matches!(
+            self,
+            Self::Full | Self::ConnectFailed | Self::Unreachable | Self::Broken | Self::Moot | Self::Miss
+        )
     }
 }
 
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -48,15 +48,16 @@
     pub reloads: Count,
     /// Watches of discovery opened.
     pub watches: Count,
-    outcomes: [Count; 10],
+    outcomes: [Count; 11],
 }
 
-const VERDICTS: [(Verdict, &str); 10] = [
+const VERDICTS: [(Verdict, &str); 11] = [
     (Verdict::Ok, "ok"),
     (Verdict::Error, "error"),
     (Verdict::Full, "full"),
     (Verdict::Timeout, "timeout"),
     (Verdict::ConnectFailed, "connect_failed"),
+    (Verdict::Unreachable, "unreachable"),
     (Verdict::Broken, "broken"),
     (Verdict::Reset, "reset"),
     (Verdict::Cancelled, "cancelled"),
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -110,11 +110,11 @@
     }
 }
 
-/// What `work` gives within a time limit; silence up to then is no connection.
+/// What `work` gives within a time limit.
 async fn bounded<T>(longest: Duration, work: impl Future<Output = Result<T, Lost>>) -> Result<T, Lost> {
     let limit = async {
         Timer::after(longest).await;
-        Err(Lost::Down)
+        Err(Lost::Silent)
     };
     or(work, limit).await
 }
@@ -163,8 +163,10 @@
 enum Lost {
     /// No descriptor or port was to be had here.
     Short,
-    /// Nobody listens, or nobody answers.
+    /// Nobody listens.
     Down,
+    /// Nobody answers.
+    Silent,
     /// The connection broke: somebody was there.
     Broken,
     /// The member is not to be sent anything new.
@@ -299,7 +301,7 @@
                 }
                 // It has ended, fell silent, or brought what was nobody's: it is closed, with nothing sent on it.
                 self.counters.unsettled.add();
-                if matches!(settled, Err(Lost::Down)) {
+                if matches!(settled, Err(Lost::Silent)) {
                     break;
                 }
             }
@@ -324,8 +326,9 @@
         self.counters.dials.add();
         let stream = Async::<TcpStream>::connect(address).await.map_err(|error| match error.kind() {
             io::ErrorKind::ConnectionReset => Lost::Broken,
+            io::ErrorKind::ConnectionRefused => Lost::Down,
             _ if shortage(&error) => Lost::Short,
-            _ => Lost::Down,
+            _ => Lost::Silent,
         })?;
         stream.get_ref().set_nodelay(true)?;
         let mut hello = Vec::with_capacity(64);
@@ -394,6 +397,7 @@
             (None, Stage::Dialing) => Err(Verdict::Broken),
             (Some(Err(_)), Stage::Sent) => Err(Verdict::Reset),
             (None, Stage::Writing) | (Some(Err(Lost::Down)), _) => Err(Verdict::ConnectFailed),
+            (Some(Err(Lost::Silent)), _) => Err(Verdict::Unreachable),
             (Some(Err(_)), _) => Err(Verdict::Broken),
         }
     }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -247,6 +247,34 @@
     assert!(counters.contains(" unsettled=2 ") && counters.contains(" outcome.reset=0 "), "{counters}");
 }
 
+#[test]
+fn a_member_that_does_not_answer_a_dial_is_unreachable_and_nothing_ran_there() {
+    let (open, opened) = channel::<()>();
+    let door = Mutex::new(Some(opened));
+    let server = Server::with_door(
+        "s-1",
+        move || {
+            let first = door.lock().unwrap().take();
+            if let Some(opened) = first {
+                assert!(opened.recv().is_err());
+            }
+        },
+        |wire, _| {
+            wire.row(b"done", "replica", NOW_MS);
+            true
+        },
+    );
+    let discovery = Discovery::new();
+    let config = config(&discovery, vec![server.entry("up", "replica")], 1_024);
+    let pooler = Pooler::on(&config.replace("20000.0", "100.0"));
+    let mut client = Client::connect(&pooler);
+    assert_eq!(client.ask(&menu("1")).value.as_deref(), Some(&b"done"[..]));
+    assert_eq!(server.got().len(), 1);
+    let counters = pooler.counters();
+    assert!(counters.contains(" outcome.unreachable=1 "), "{counters}");
+    drop(open);
+}
+
 #[test]
 fn a_spoilt_answer_is_never_passed_on() {
     let column: &[u8] = b"T\0\0\0\x20\0\x01content\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01";
