Attempts that were given up still count as in flight while they may run

A log of each request and attempt beside the module's state showed replicas with 0 to 3 attempts out, a limit of 3 and crowding of 0.07, while answers took twice as long: what the module held to be in flight was a third of what the servers had been sent. A cancel or a time-out stops nothing there.

At fault: `Router::outcome` drops a called-off or overdue attempt from `Member::out` at once, and load, room and limit are counted from that alone.

Now such an attempt counts, in load, room and limit, for as long as answers of its class usually take there. It makes no member suspect.

The module's test fails without it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -345,7 +345,7 @@
         let over = self.crowding(now, gid, REPLICA) - self.crowding(now, gid, PRIMARY) - SPILL_OVER;
         let spills = primary.is_some() && !pool.is_empty() && chance < over;
         let pick = if pool.is_empty() || spills {
-            let spare = |m: &Member| fresh_only || spills || m.out.len() as f64 + 1.0 <= m.limit * share;
+            let spare = |m: &Member| fresh_only || spills || m.in_work(now) + 1.0 <= m.limit * share;
             primary.filter(|id| spare(&self.members[*id]) && self.room(&self.members[*id], now)).cloned()
         } else {
             let loads: Vec<f64> = pool.iter().map(|(_, m)| self.load(m, now)).collect();
@@ -618,12 +618,16 @@
         if matches!(verdict, Verdict::Ok | Verdict::Error | Verdict::Miss) {
             m.heard = now;
         }
+        if let Some(pace) = pace.filter(|_| matches!(verdict, Verdict::Cancelled | Verdict::Timeout)) {
+            m.left.retain(|done| now < *done);
+            m.left.push(now + pace.takes(0.0).times(m.slow));
+        }
         let before = m.ejections;
         match verdict {
             Verdict::Ok => {
                 if crowded {
                     m.crowded(now, took);
-                } else if m.out.len() as f64 + 1.0 >= m.limit * LIMIT_USED {
+                } else if m.in_work(now) + 1.0 >= m.limit * LIMIT_USED {
                     m.limit += (1.0 / m.limit).min(m.limit * LIMIT_GROWTH);
                 }
                 self.served.add(now, MEMORY, [0.0, 1.0]);
@@ -687,7 +691,8 @@
             age.clamp(1.0, LONGEST_WAIT)
         };
         let out: f64 = m.out.values().map(waits).sum();
-        (1.0 + out) * m.slow * (1.0 + ILL_COUNTS * m.ill)
+        let left = m.in_work(now) - m.out.len() as f64;
+        (1.0 + out + left) * m.slow * (1.0 + ILL_COUNTS * m.ill)
     }
 
     fn suspect(&self, m: &Member, now: Time) -> bool {
@@ -712,7 +717,7 @@
 
     fn room(&self, m: &Member, now: Time) -> bool {
         let cold = self.warmth(m, now) < 1.0 && self.credit(m, now) < 1.0;
-        now >= m.rested && (m.out.len() as f64) < m.limit && !cold
+        now >= m.rested && m.in_work(now) < m.limit && !cold
     }
 
     /// Own share of a cold member's budget: what a member usually serves for this router, times the multiple
@@ -884,10 +889,15 @@
         }
     }
 
+    /// What it works at for this router, as far as is known: giving an attempt up stops nothing there.
+    fn in_work(&self, now: Time) -> f64 {
+        (self.out.len() + self.left.iter().filter(|done| now < **done).count()) as f64
+    }
+
     /// Shrinks the limit, at most once per answer's time: the answers that follow tell of the same crowd.
     fn crowded(&mut self, now: Time, took: Span) {
         if now - took >= self.cut {
-            self.limit = (self.limit.min(self.out.len() as f64 + 1.0) * LIMIT_CUT).max(LEAST_LIMIT);
+            self.limit = (self.limit.min(self.in_work(now) + 1.0) * LIMIT_CUT).max(LEAST_LIMIT);
             self.cut = now;
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -33,6 +33,8 @@
     pub(crate) primary_at: Time,
     pub(crate) replica_at: Time,
     pub(crate) out: BTreeMap<(RequestId, AttemptNo), Out>,
+    /// When attempts that were given up while they might run are done, by the usual pace.
+    pub(crate) left: Vec<Time>,
     /// Its latency as a multiple of the class's usual.
     pub(crate) slow: f64,
     pub(crate) ill: f64,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -141,6 +141,31 @@
     assert!(burst.iter().all(|actions| sends(actions) == [member(1)]), "{burst:?}");
 }
 
+#[test]
+fn work_that_was_given_up_still_counts_while_it_may_run() {
+    // Seen on the wide day: clients gave up early and asked again; what they left behind filled the members,
+    // which looked idle.
+    let mut host = Host::new(settings(), 1);
+    let mut sent = Vec::new();
+    loop {
+        let (id, actions) = host.ask(ANY);
+        if sends(&actions).is_empty() {
+            host.tell(Event::Gone(id));
+            break;
+        }
+        sent.push(id);
+    }
+    for id in &sent {
+        host.tell(Event::Gone(*id));
+        host.end(*id, 0, 1, Verdict::Cancelled);
+    }
+    let (id, actions) = host.ask(ANY);
+    assert!(sends(&actions).is_empty(), "it is full of what nobody waits for");
+    let actions = host.pass(150);
+    assert_eq!(sends(&actions).len(), 1, "and done with it after the usual time");
+    host.end(id, 0, 1, Verdict::Ok);
+}
+
 #[test]
 fn a_connection_that_never_came_up_beside_good_ones_is_no_restart() {
     for answered in [false, true] {
