Who asks once and keeps its connection leaves room for others

A log of each connection showed why: from 2 s on 60 connections a second ask once and stay, none is evicted, since 128 of them and 50 silent ones are fewer than the 201 seats, and requests on older connections stop altogether. Clients may hold a third of 384 descriptors for requests, which is 128: there was no connection left to ask on. Later, hundreds of connections a second sent a startup and an empty query and stayed; that counted as having asked.

At fault: `Seats::room` evicted only for want of seats, and `Stage::Known` came with any answered command.

Now clients that have asked get a quarter of all descriptors, after which the one idle longest makes room, and only a request counts as having asked.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -67,7 +67,7 @@
             Some(Err(error)) if super::upstream::shortage(&error) => {
                 node.counters.short.add();
                 if !node.pool.close_one_idle() {
-                    node.seats.ask_one_to_go(Rank::Idle);
+                    node.seats.ask_one_to_go(Rank::Parting..=Rank::Idle);
                 }
                 Timer::after(SHORT_PAUSE).await;
             }
@@ -116,7 +116,7 @@
 enum Stage {
     /// Its startup is not all there.
     Startup,
-    /// It has not asked anything yet.
+    /// It has not made a request yet.
     Silent,
     /// It has.
     Known,
@@ -241,9 +241,6 @@
                     if matches!(tag, b'Q' | b'S') {
                         write::ready(&mut out);
                     }
-                    if tag == b'Q' {
-                        self.stage = Stage::Known;
-                    }
                     self.send(&[&out]).await?;
                 }
                 Command::Rejected(code, words) => {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -113,7 +113,7 @@
         config_file,
         longest_deadline,
         classes,
-        seats: Seats::new(shared - most_upstream - spare_clients, spare_clients),
+        seats: Seats::new(shared - most_upstream - spare_clients, spare_clients, config.sockets / 4),
         open_ids: RefCell::default(),
         scratch: RefCell::new(vec![0; SCRATCH]),
         closing: Flag::default(),
--- a/src/net/seats.rs
+++ b/src/net/seats.rs
@@ -3,6 +3,8 @@
 //! A client with an open request keeps its seat. Of the others those go first that were told that they have to
 //! go, then those that have asked nothing yet, oldest first, then those idle longest. Clients that have asked
 //! nothing share a part of the seats among themselves, so that a silent crowd pushes out nobody but its own.
+//! Who has asked gets a part as well: where clients may hold only so many connections, those that ask once and
+//! keep theirs would leave none for others.
 
 use super::flag::Flag;
 use async_io::Timer;
@@ -10,6 +12,7 @@
 use futures_lite::future::or;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -43,27 +46,33 @@
     /// For clients that are accepted only to be refused.
     spare: usize,
     most_silent: usize,
+    /// Clients that have asked, busy ones included, beyond which the idle make room.
+    most_known: usize,
     taken: Cell<usize>,
     number: Cell<u64>,
     freed: Bell,
     /// Who can be asked to go.
     waiting: RefCell<BTreeMap<At, Rc<Flag>>>,
     silent: Cell<usize>,
+    /// Nobody came before.
+    started: Instant,
 }
 
 impl Seats {
-    /// So many seats, and a few more for those that are refused.
+    /// So many seats, a few more for those that are refused, and so many for clients that have asked.
     #[must_use]
-    pub fn new(most: usize, spare: usize) -> Self {
+    pub fn new(most: usize, spare: usize, most_known: usize) -> Self {
         Self {
             most,
             spare,
             most_silent: (most / 4).max(1),
+            most_known,
             taken: Cell::new(0),
             number: Cell::new(0),
             freed: Bell::new(),
             waiting: RefCell::default(),
             silent: Cell::new(0),
+            started: Instant::now(),
         }
     }
 
@@ -77,9 +86,15 @@
     /// can only be refused: all who sit there are being served.
     pub async fn room(&self) -> bool {
         loop {
+            let unknown = self.waiting.borrow().range(..(Rank::Idle, self.started, 0)).count();
+            if self.taken.get().saturating_sub(unknown) >= self.most_known {
+                self.ask_one_to_go(Rank::Idle..=Rank::Idle);
+            }
             let crowd = self.silent.get() >= self.most_silent;
             let full = self.taken.get() >= self.most;
-            if !(crowd || full) || self.ask_one_to_go(if full { Rank::Idle } else { Rank::Silent }) {
+            if !(crowd || full)
+                || self.ask_one_to_go(Rank::Parting..=if full { Rank::Idle } else { Rank::Silent })
+            {
                 return true;
             }
             // The crowd is too young to be told from clients that are about to send.
@@ -94,11 +109,13 @@
         }
     }
 
-    /// Asks one client of at most this rank to make room; false if nobody can be asked.
-    pub fn ask_one_to_go(&self, most: Rank) -> bool {
+    /// Asks one client of these ranks to make room; false if nobody can be asked.
+    pub fn ask_one_to_go(&self, ranks: RangeInclusive<Rank>) -> bool {
         let waiting = self.waiting.borrow();
-        let ranks = [Rank::Parting, Rank::Silent, Rank::Idle].into_iter().filter(|rank| *rank <= most);
-        let oldest = |rank| waiting.keys().find(|at| at.0 == rank).copied();
+        let ranks = [Rank::Parting, Rank::Silent, Rank::Idle].into_iter().filter(|rank| ranks.contains(rank));
+        let oldest = |rank| {
+            waiting.range((rank, self.started, 0)..).next().map(|(at, _)| *at).filter(|at| at.0 == rank)
+        };
         let old_enough = |at: &At| at.1.elapsed() >= at.0.least();
         let Some(at) = ranks.filter_map(oldest).find(old_enough) else { return false };
         drop(waiting);
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -450,6 +450,24 @@
     assert_eq!(usual.ask(&menu("4")).value.as_deref(), Some(&b"s-1"[..]));
 }
 
+#[test]
+fn who_asks_once_and_stays_makes_room_before_the_house_is_full() {
+    let server = plain("s-1", "replica");
+    let discovery = Discovery::new();
+    // Of 48 descriptors 15 go to clients, and no more than 12 of them to such as have asked.
+    let pooler = Pooler::within(&discovery, vec![server.entry("up", "replica")], 48);
+    let asking = |_| {
+        let mut client = Client::connect(&pooler);
+        assert!(client.ask(&menu("1")).value.is_some());
+        client
+    };
+    let stay: Vec<Client> = (0..13).map(asking).collect();
+    // Others come and go, so that there are never more than 14.
+    stay[0].0.stream.set_read_timeout(Some(std::time::Duration::from_millis(50))).unwrap();
+    let closed = (0..200).map(asking).any(|_| matches!(stay[0].0.stream.peek(&mut [0]), Ok(0)));
+    assert!(closed, "the one idle longest");
+}
+
 #[test]
 fn a_planned_restart_answers_what_was_taken_and_ends_well() {
     // Connections keep arriving for up to 0.4 s. A machine that stalls that long between two lines here tells
