A draining pooler serves the connections it has for as long as there is time

The logs show SIGTERM at 4.4 s, the exit at 7.2 s, the stop at 7.9 s, the return at 8.8 s: clients closed as idle 0.5 s after SIGTERM had nowhere to ask for 3.8 s, since each has its own pooler. Ruled out: requests lost in the drain (713 of 718 taken were served, 5 refused) and an earlier return (it comes when it comes, whenever the pooler ends).

At fault: `drain` in src/net/signals.rs closed idle clients after ARRIVALS alone. Nothing asks for that: clients use what they have for as long as it is open, and what comes in time is answered.

Now idle clients are closed 0.7 s before the last answers are due, which is 0.4 s before SIGKILL at the earliest; new ones are let in until then.

--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -9,9 +9,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Connections keep arriving for up to 0.4 s after SIGTERM; until a little later nothing changes for clients.
+/// Connections keep arriving for up to 0.4 s after SIGTERM; until a little later nothing changes for clients,
 const ARRIVALS: Duration = Duration::from_millis(500);
-/// And for this long after that a straggler is still accepted, served and closed.
+/// and for as long as there is this much time left for what is under way. Who has a connection has no other
+/// pooler while it lasts, so to close it early fails what would have been asked on it.
+const PARTING: Duration = Duration::from_millis(700);
+/// For this long after that a straggler is still accepted, served and closed.
 const STRAGGLERS: Duration = Duration::from_millis(250);
 /// SIGKILL comes no earlier than the longest deadline, counted as no more than this, and a grace.
 const LONGEST_COUNTED: Duration = Duration::from_secs(3);
@@ -62,15 +65,15 @@
     }
 }
 
-/// Serves on while connections arrive, closes clients as they fall idle, and ends when none is left.
+/// Serves on while there is time, then closes clients as they fall idle, and ends when none is left.
 async fn drain(node: &Node) {
     let started = Instant::now();
     super::log(&format_args!("draining with {} clients connected", node.seats.taken()));
-    Timer::after(ARRIVALS).await;
+    let last = node.longest_deadline.min(LONGEST_COUNTED) + KILL_GRACE - MARGIN;
+    Timer::after(last.saturating_sub(PARTING).max(ARRIVALS)).await;
     node.closing.raise();
     Timer::after(STRAGGLERS).await;
     node.deaf.raise();
-    let last = node.longest_deadline.min(LONGEST_COUNTED) + KILL_GRACE - MARGIN;
     while node.seats.taken() > 0 && started.elapsed() < last {
         Timer::after(LOOK).await;
     }
