A workspace: core, net, daemon and simhost, so that the compiler holds the boundaries

Need: a registry, a library and further protocols are to stand on the decisions without reaching into the sockets, and one package let every file reach every other.

--- a/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small host for the module's tests: plain settings, and a router with its clock.
 #![allow(dead_code)]
 
-use linnetdeal::*;
+use linnetdeal_core::*;
 use std::sync::Arc;
 
 pub const READ: ClassId = ClassId(0);
--- a/tests/mechanism.rs
+++ b/crates/core/tests/mechanism.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use linnetdeal::*;
+use linnetdeal_core::*;
 use std::collections::BTreeMap;
 
 #[test]
--- a/tests/properties.rs
+++ b/crates/core/tests/properties.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use linnetdeal::*;
+use linnetdeal_core::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
--- a/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use linnetdeal::*;
+use linnetdeal_core::*;
 
 /// A router that has member 1 shown as primary of three.
 fn with_primary(settings: Settings) -> Host {
--- a/src/bin/linnetdeal.rs
+++ b/crates/daemon/src/main.rs
@@ -1,7 +1,6 @@
 //! The pooler on real sockets.
-#![forbid(unsafe_code)]
 
-use linnetdeal::config::Config;
+use linnetdeal_net::config::Config;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -21,7 +20,7 @@
             return ExitCode::from(BAD_CONFIG);
         }
     };
-    match linnetdeal::net::run(config, path) {
+    match linnetdeal_net::run(config, path) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("linnetdeal: {error}");
--- a/tests/peers/mod.rs
+++ b/crates/daemon/tests/peers/mod.rs
@@ -1,7 +1,7 @@
 //! Scripted peers on loopback sockets: servers, discovery and clients round the built pooler.
 #![allow(dead_code)]
 
-use linnetdeal::net::pg::{self, write};
+use linnetdeal_net::pg::{self, write};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/src/net/clock.rs
+++ b/crates/net/src/clock.rs
@@ -1,7 +1,7 @@
 //! The clock of the sockets: Unix time in microseconds, read once and carried on by the steady clock, so that
 //! it never runs backwards.
 
-use crate::interface::{Span, Time};
+use linnetdeal_core::{Span, Time};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Unix time that only moves forward.
--- a/src/config.rs
+++ b/crates/net/src/config.rs
@@ -1,8 +1,8 @@
 //! What the daemon is told: its configuration and the lists of discovery, decoded into plain types.
 //! Keys that mean nothing here are ignored.
 
-use crate::interface::*;
-use crate::settings::{Pairs, span};
+use linnetdeal_core::settings::{Pairs, span};
+use linnetdeal_core::*;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
--- a/src/net/counters.rs
+++ b/crates/net/src/counters.rs
@@ -1,6 +1,6 @@
 //! What the pooler took in, sent and answered.
 
-use crate::interface::Verdict;
+use linnetdeal_core::Verdict;
 use std::cell::Cell;
 use std::fmt;
 
--- a/src/net/driver.rs
+++ b/crates/net/src/driver.rs
@@ -3,11 +3,11 @@
 
 use super::clock::Clock;
 use super::counters::Counters;
-use crate::Router;
-use crate::interface::*;
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future::or;
+use linnetdeal_core::Router;
+use linnetdeal_core::*;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
--- a/src/net/mod.rs
+++ b/crates/net/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod buffer;
 pub mod clock;
+pub mod config;
 pub mod counters;
 pub mod discovery;
 pub mod driver;
@@ -16,14 +17,14 @@
 pub mod signals;
 pub mod upstream;
 
-use crate::Router;
 use crate::config::Config;
-use crate::interface::{Event, Need};
 use async_executor::LocalExecutor;
 use counters::Counters;
 use discovery::Source;
 use driver::Driver;
 use flag::Flag;
+use linnetdeal_core::Router;
+use linnetdeal_core::{Event, Need};
 use members::Members;
 use seats::Seats;
 use std::cell::RefCell;
--- a/src/net/members.rs
+++ b/crates/net/src/members.rs
@@ -1,7 +1,7 @@
 //! Who the members are at this moment, as discovery tells: where each listens and whether it takes new work.
 
 use crate::config::{Server, ServerList};
-use crate::interface::*;
+use linnetdeal_core::*;
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
--- a/src/net/pg/backend.rs
+++ b/crates/net/src/pg/backend.rs
@@ -1,7 +1,7 @@
 //! What a server sends.
 
 use super::{LONGEST_VALUE, Message, PgError, bounded, text};
-use crate::interface::{Field, Note, Role, Time};
+use linnetdeal_core::{Field, Note, Role, Time};
 
 /// No position of a log is a Unix time in seconds beyond this.
 const LATEST_POSITION: f64 = 1e11;
--- a/src/net/probes.rs
+++ b/crates/net/src/probes.rs
@@ -1,8 +1,8 @@
 //! Probes, as the module asks for them: each on its own, so that a silent member holds up no other.
 
 use super::Node;
-use crate::interface::{Event, MemberId};
 use async_channel::Receiver;
+use linnetdeal_core::{Event, MemberId};
 use std::rc::Rc;
 
 /// Carries out the probes that are asked for. Runs as long as the module does.
--- a/src/net/request.rs
+++ b/crates/net/src/request.rs
@@ -3,8 +3,8 @@
 
 use super::driver::{Driver, Order};
 use crate::config::duration;
-use crate::interface::*;
 use futures_lite::future::or;
+use linnetdeal_core::*;
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
--- a/tests/parsers.rs
+++ b/crates/net/tests/parsers.rs
@@ -1,7 +1,7 @@
 //! The parsers on anything at all: no panic, and no message before its last byte is there.
 
-use linnetdeal::Field;
-use linnetdeal::net::{http, pg};
+use linnetdeal_core::Field;
+use linnetdeal_net::{http, pg};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
--- a/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -1,9 +1,9 @@
 //! The adapter: text lines in, text lines out, one [`Router`] per instance. It translates and
 //! decides nothing; instances share nothing but the numbered lists that the wire itself shares.
 
-use crate::Router;
-use crate::interface::*;
-use crate::settings::{Pairs, Parsed, span};
+use linnetdeal_core::Router;
+use linnetdeal_core::settings::{Pairs, Parsed, span};
+use linnetdeal_core::*;
 use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::io::{self, BufRead, Write};
