Members come from several sources through one module that lets a drain win

Need: a registry is to stand beside the platform's list, and both may lag or contradict each other; members that were gone were kept for ever. Change: core's membership settles what counts, by evidence and not by arrival, and doubts lists that lost most at once; the platform's list goes through it as before; gone members are forgotten after 15 minutes, in the module too; probes and the watch are given what they use.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -216,6 +216,7 @@
                 self.ask_at = Some(now + ASK_AGAIN);
                 return;
             }
+            Listing::Forgotten(members) => return self.forget(&members),
         };
         // Many routers may start together, and each knows only its own part.
         let limit = (FIRST_LIMIT / f64::from(self.settings.fleet)).max(LEAST_FIRST_LIMIT);
@@ -225,7 +226,12 @@
             self.stirred.insert(entry.group);
             named.extend(full.then(|| entry.member.clone()));
             let dice = self.chance();
+            let id = entry.member.clone();
             let m = self.members.entry(entry.member).or_insert_with(|| Member::new(entry.group, limit));
+            let before = std::mem::replace(&mut m.group, entry.group);
+            if let Some(group) = self.groups.get_mut(&before).filter(|_| before != entry.group) {
+                group.leave(&id);
+            }
             m.becomes(entry.state);
             m.listed_primary = entry.primary;
             if let Some(at) = entry.started.filter(|_| entry.started > m.started) {
@@ -238,6 +244,18 @@
         self.in_service = self.members.values().filter(|m| m.state == ListState::Healthy).count() as f64;
     }
 
+    /// Lets go of members that are out of service, unless something is still out at them.
+    fn forget(&mut self, members: &[MemberId]) {
+        let done = |m: &Member| m.state != ListState::Healthy && m.out.is_empty();
+        for id in members {
+            if let Some(m) = self.members.get(id).filter(|m| done(m)) {
+                self.groups.entry(m.group).and_modify(|group| group.leave(id));
+                self.members.remove(id);
+            }
+        }
+        self.groups.retain(|_, group| !group.members.is_empty() || !group.held.is_empty());
+    }
+
     fn request(&mut self, now: Time, request: &Request, actions: &mut Vec<Action>) {
         let Some(class) = self.settings.classes.get(request.class.0) else {
             actions.push(Action::Fail { request: request.id });
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -308,6 +308,8 @@
     Changes(Vec<Entry>),
     /// A call for the list failed, or the subscription broke.
     Failed,
+    /// Members that were gone for so long that nothing needs to be known of them any more.
+    Forgotten(Vec<MemberId>),
 }
 
 /// A client's request.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod choice;
 mod interface;
+pub mod membership;
 pub mod settings;
 mod state;
 
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,390 @@
+//! Who the members are, by what several sources say of them: the platform's list, a registry, the boxes themselves.
+//! Sources lag, contradict one another and lose things; this settles what counts, without I/O and without a clock of
+//! its own. The table of what outranks what stands in `docs/design/eureka.md`, and each of its cells in the tests.
+//!
+//! The one rule above all: **who was told to drain or to be gone stays so until something newer says otherwise.** A
+//! repeat, a stale copy or another peer's older view is nothing newer.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// A source of claims, in the order in which the host numbers them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SourceId(pub u8);
+
+/// How new a claim is, by what the member said itself and not by when the claim arrived.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Evidence {
+    /// When the member last started, where the source tells. A later start outranks any stamp.
+    pub started: Option<Time>,
+    /// The stamp of the member's last change of itself (Eureka's `lastDirtyTimestamp`, in its own unit), or the number
+    /// of the message where a source's messages come in order.
+    pub stamp: i64,
+}
+
+/// How one piece of evidence stands to another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Age {
+    /// It tells of something later.
+    Newer,
+    /// It tells of the same.
+    Same,
+    /// It tells of something earlier.
+    Older,
+}
+
+impl Evidence {
+    /// How `self` stands to `held`.
+    #[must_use]
+    pub fn against(&self, held: &Self) -> Age {
+        let starts = self.started.zip(held.started).map(|(new, old)| new.cmp(&old));
+        match starts.unwrap_or(std::cmp::Ordering::Equal).then(self.stamp.cmp(&held.stamp)) {
+            std::cmp::Ordering::Greater => Age::Newer,
+            std::cmp::Ordering::Equal => Age::Same,
+            std::cmp::Ordering::Less => Age::Older,
+        }
+    }
+}
+
+/// What a source says of one member.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Claim {
+    /// The member.
+    pub member: MemberId,
+    /// Where it listens; `None` where the source does not tell or could not be read.
+    pub address: Option<SocketAddr>,
+    /// Its group; `None` keeps the one that is known.
+    pub group: Option<GroupId>,
+    /// Its zone.
+    pub zone: String,
+    /// Whether the source holds it to be the primary.
+    pub primary: bool,
+    /// When it last started; `None` for long ago or not told.
+    pub started: Option<Time>,
+    /// Its state.
+    pub state: ListState,
+    /// How new all this is.
+    pub evidence: Evidence,
+}
+
+/// News from a source.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// All that the source knows. `view` is how new its knowledge is, on the scale of [`Evidence::stamp`]: a member with
+    /// a later stamp that is not named was not known yet, which tells nothing.
+    Full {
+        /// The members.
+        claims: Vec<Claim>,
+        /// How new the whole is.
+        view: i64,
+    },
+    /// Some members.
+    Changes(Vec<Claim>),
+}
+
+/// When a list that lacks members is taken for a sick source rather than for a smaller fleet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Doubt {
+    /// The share of a source's members in service that one full list may lack and still be believed; at 1 only an empty
+    /// list is doubted, over 1 nothing is.
+    pub lost_share: f64,
+    /// After so long of the same doubted story it is believed; `None` never.
+    pub believe_after: Option<Span>,
+}
+
+impl Doubt {
+    /// Believes all that it is told, as the platform's list asks for.
+    pub const NONE: Self = Self { lost_share: 2.0, believe_after: None };
+}
+
+/// What became of news.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Taken {
+    /// The entries that differ from before, as the module takes them.
+    pub changed: Vec<Entry>,
+    /// Members that were forgotten.
+    pub forgotten: Vec<MemberId>,
+    /// Claims that were set aside since what is held is newer.
+    pub stale: usize,
+    /// Of those, claims that would have brought back who drains or is gone.
+    pub kept_out: usize,
+    /// Claims of one registration with two addresses: two members under one id.
+    pub conflicts: usize,
+    /// A list that was not believed: it lacked so many of so many.
+    pub doubted: Option<(usize, usize)>,
+}
+
+/// A member as a host needs it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Known {
+    /// Where it listens.
+    pub address: Option<SocketAddr>,
+    /// Its state, all sources taken together.
+    pub state: ListState,
+    /// Its group.
+    pub group: GroupId,
+    /// Its zone.
+    pub zone: String,
+    /// Whether a source holds it to be the primary.
+    pub primary: bool,
+    /// When it last started.
+    pub started: Option<Time>,
+}
+
+/// What one source holds of one member.
+#[derive(Clone, Debug)]
+struct Held {
+    claim: Claim,
+    /// It went by not being named in a list this new. Only a newer view brings it back, or newer evidence.
+    absent: Option<i64>,
+    /// When this source last said so.
+    since: Time,
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    held: BTreeMap<SourceId, Held>,
+    known: Known,
+    gone_since: Option<Time>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Source {
+    doubt: Doubt,
+    /// Since when it has told the doubted story.
+    doubted: Option<Time>,
+}
+
+/// The members by what all sources say.
+#[derive(Debug)]
+pub struct Membership {
+    sources: BTreeMap<SourceId, Source>,
+    members: BTreeMap<MemberId, Record>,
+    /// Who is gone, by when; so that forgetting costs what it forgets.
+    gone: BTreeSet<(Time, MemberId)>,
+    remembers: Span,
+    most_gone: usize,
+}
+
+impl Membership {
+    /// An empty one. Who is gone is remembered for `remembers`, and no more than `most_gone` of them: a stale claim that
+    /// comes later than that is taken for a new member.
+    #[must_use]
+    pub fn new(remembers: Span, most_gone: usize) -> Self {
+        Self {
+            sources: BTreeMap::new(),
+            members: BTreeMap::new(),
+            gone: BTreeSet::new(),
+            remembers,
+            most_gone,
+        }
+    }
+
+    /// Says how a source's full lists are doubted. Without it all is believed.
+    pub fn doubt(&mut self, source: SourceId, doubt: Doubt) {
+        self.sources.insert(source, Source { doubt, doubted: None });
+    }
+
+    /// A member that is known, gone ones included for as long as they are remembered.
+    #[must_use]
+    pub fn get(&self, member: &MemberId) -> Option<&Known> {
+        self.members.get(member).map(|record| &record.known)
+    }
+
+    /// All that are known, in the order of their ids.
+    pub fn iter(&self) -> impl Iterator<Item = (&MemberId, &Known)> {
+        self.members.iter().map(|(id, record)| (id, &record.known))
+    }
+
+    /// Takes what a source says. The cost goes with what it names, and for a full list with what is known.
+    pub fn take(&mut self, now: Time, source: SourceId, news: News) -> Taken {
+        let mut taken = Taken::default();
+        match news {
+            News::Changes(claims) => {
+                for claim in claims {
+                    self.claim(now, source, claim, None, &mut taken);
+                }
+            }
+            News::Full { claims, view } => {
+                let named: BTreeSet<MemberId> = claims.iter().map(|claim| claim.member.clone()).collect();
+                let (missing, lost, in_service) = self.missing(source, &named, view);
+                let sick = self.sick(now, source, lost, in_service, named.is_empty());
+                for claim in claims {
+                    self.claim(now, source, claim, Some(view), &mut taken);
+                }
+                if sick {
+                    taken.doubted = Some((lost, in_service));
+                } else {
+                    for member in missing {
+                        self.absent(now, source, member, view, &mut taken);
+                    }
+                }
+            }
+        }
+        self.forget(now, &mut taken);
+        taken
+    }
+
+    /// Those that a list of this view should have named and did not; how many of them are in service by this source's
+    /// word, and how many members are.
+    fn missing(
+        &self,
+        source: SourceId,
+        named: &BTreeSet<MemberId>,
+        view: i64,
+    ) -> (Vec<MemberId>, usize, usize) {
+        let (mut missing, mut lost, mut in_service) = (Vec::new(), 0, 0);
+        for (id, record) in &self.members {
+            let Some(held) = record.held.get(&source) else { continue };
+            if held.claim.state == ListState::Gone {
+                continue;
+            }
+            let serves = usize::from(held.claim.state == ListState::Healthy);
+            in_service += serves;
+            if !named.contains(id) && held.claim.evidence.stamp <= view {
+                lost += serves;
+                missing.push(id.clone());
+            }
+        }
+        (missing, lost, in_service)
+    }
+
+    fn sick(&mut self, now: Time, source: SourceId, lost: usize, in_service: usize, empty: bool) -> bool {
+        let Some(of) = self.sources.get_mut(&source) else { return false };
+        // What has begun to be doubted is doubted until all are named again: a registry that lost its memory fills up
+        // one by one, and at some point lacks few enough.
+        let share = if of.doubted.is_some() { 0.0 } else { of.doubt.lost_share };
+        let lost = lost > 0 && lost as f64 > share * in_service as f64;
+        let nothing = empty && in_service > 0 && of.doubt.lost_share <= 1.0;
+        if !(lost || nothing) {
+            of.doubted = None;
+            return false;
+        }
+        let since = *of.doubted.get_or_insert(now);
+        let believed = of.doubt.believe_after.is_some_and(|after| now - since >= after);
+        if believed {
+            of.doubted = None;
+        }
+        !believed
+    }
+
+    fn claim(&mut self, now: Time, source: SourceId, mut claim: Claim, view: Option<i64>, taken: &mut Taken) {
+        let held = self.members.get(&claim.member).and_then(|record| record.held.get(&source));
+        if let Some(held) = held {
+            let moved = claim.address.zip(held.claim.address).is_some_and(|(new, old)| new != old);
+            let worse = rank(claim.state) > rank(held.claim.state);
+            let better = rank(claim.state) < rank(held.claim.state);
+            let back = held.absent.zip(view).is_some_and(|(absent, view)| view > absent);
+            let counts = match claim.evidence.against(&held.claim.evidence) {
+                Age::Newer => true,
+                // The same registration: it may only get worse, but for one that was merely not named.
+                Age::Same => !better || back,
+                Age::Older => false,
+            };
+            if !counts {
+                taken.stale += 1;
+                taken.kept_out += usize::from(better);
+                return;
+            }
+            // Two members under one id, as far as can be seen: the one that was there first stays.
+            if moved && claim.evidence.against(&held.claim.evidence) == Age::Same {
+                taken.conflicts += 1;
+                if !worse {
+                    return;
+                }
+                claim.address = held.claim.address;
+            }
+            claim.address = claim.address.or(held.claim.address);
+            claim.group = claim.group.or(held.claim.group);
+        }
+        let member = claim.member.clone();
+        self.hold(now, source, member, Held { claim, absent: None, since: now }, taken);
+    }
+
+    fn absent(&mut self, now: Time, source: SourceId, member: MemberId, view: i64, taken: &mut Taken) {
+        let held = self.members.get(&member).and_then(|record| record.held.get(&source));
+        if let Some(mut held) = held.cloned() {
+            held.claim.state = ListState::Gone;
+            (held.absent, held.since) = (Some(view), now);
+            self.hold(now, source, member, held, taken);
+        }
+    }
+
+    /// Holds what a source says, and tells if all sources taken together now say something else than before.
+    fn hold(&mut self, now: Time, source: SourceId, member: MemberId, held: Held, taken: &mut Taken) {
+        let entry = self.members.entry(member.clone());
+        let new = matches!(entry, std::collections::btree_map::Entry::Vacant(_));
+        let record = entry.or_insert_with(|| Record {
+            held: BTreeMap::new(),
+            known: Known::default(),
+            gone_since: None,
+        });
+        record.held.insert(source, held);
+        let known = combine(&record.held);
+        match (record.gone_since, known.state == ListState::Gone) {
+            (None, true) => {
+                record.gone_since = Some(now);
+                self.gone.insert((now, member.clone()));
+            }
+            (Some(since), false) => {
+                record.gone_since = None;
+                self.gone.remove(&(since, member.clone()));
+            }
+            _ => {}
+        }
+        if new || record.known != known {
+            let Known { state, group, zone, primary, started, .. } = known.clone();
+            taken.changed.push(Entry { member, group, state, primary, started, zone });
+            record.known = known;
+        }
+    }
+
+    fn forget(&mut self, now: Time, taken: &mut Taken) {
+        while let Some((since, _)) = self.gone.first() {
+            if now - *since < self.remembers && self.gone.len() <= self.most_gone {
+                return;
+            }
+            if let Some((_, member)) = self.gone.pop_first() {
+                self.members.remove(&member);
+                taken.forgotten.push(member);
+            }
+        }
+    }
+}
+
+/// What all sources say of a member, taken together. The worst of them counts, unless another source shows a start
+/// after it: who started anew is not who drained. What only one tells comes from the first source that tells it.
+fn combine(held: &BTreeMap<SourceId, Held>) -> Known {
+    let shown = |than: &Held| {
+        let after = than.claim.started.unwrap_or(than.since);
+        held.values().any(|one| one.claim.state == ListState::Healthy && one.claim.started > Some(after))
+    };
+    let counted = || held.values().filter(|one| one.claim.state == ListState::Healthy || !shown(one));
+    let state =
+        counted().map(|one| one.claim.state).max_by_key(|state| rank(*state)).unwrap_or(ListState::Gone);
+    Known {
+        address: counted()
+            .find_map(|one| one.claim.address)
+            .or(held.values().find_map(|one| one.claim.address)),
+        state,
+        group: held.values().find_map(|one| one.claim.group).unwrap_or_default(),
+        zone: held
+            .values()
+            .map(|one| &one.claim.zone)
+            .find(|zone| !zone.is_empty())
+            .cloned()
+            .unwrap_or_default(),
+        primary: counted().any(|one| one.claim.primary),
+        started: held.values().filter_map(|one| one.claim.started).max(),
+    }
+}
+
+/// The more, the more care a state asks for.
+fn rank(state: ListState) -> u8 {
+    match state {
+        ListState::Healthy => 0,
+        ListState::Draining => 1,
+        ListState::Gone => 2,
+    }
+}
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -64,6 +64,14 @@
     pub(crate) crowd: [Counts; 2],
 }
 
+impl Group {
+    /// A member is of this group no more.
+    pub(crate) fn leave(&mut self, member: &MemberId) {
+        self.members.remove(member);
+        self.mark.take_if(|mark| mark == member);
+    }
+}
+
 pub(crate) struct Attempt {
     pub(crate) member: MemberId,
     pub(crate) open: bool,
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -417,6 +417,22 @@
     assert!(to_bad <= 12, "{to_bad} of 60 reads went to the failing member");
 }
 
+#[test]
+fn who_is_forgotten_leaves_nothing_behind_and_may_come_back() {
+    let mut host = with_primary(settings());
+    let gone = Entry { state: ListState::Gone, ..entry(1) };
+    host.tell(Event::List(Listing::Changes(vec![gone])));
+    host.tell(Event::List(Listing::Forgotten(vec![member(1), member(9)])));
+    // Who is in service is not forgotten, whoever asks for it.
+    host.tell(Event::List(Listing::Forgotten(vec![member(2)])));
+    let (_, actions) = host.ask(ANY);
+    assert!(!sends(&actions).contains(&member(1)) && !sends(&actions).is_empty());
+    host.tell(Event::List(Listing::Changes(vec![entry(1)])));
+    let (id, actions) = host.ask(UNSAFE);
+    assert!(!sends(&actions).is_empty());
+    host.end_with(id, 0, 1, Verdict::Ok, Some(Role::Primary));
+}
+
 #[test]
 fn a_silent_member_gets_no_new_reads() {
     let mut host = Host::new(settings(), 3);
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -20,8 +20,11 @@
             return ExitCode::from(BAD_CONFIG);
         }
     };
-    match linnetdeal_net::run(config, path) {
-        Ok(()) => ExitCode::SUCCESS,
+    match linnetdeal_net::Pooler::new(config, path) {
+        Ok(pooler) => {
+            pooler.run();
+            ExitCode::SUCCESS
+        }
         Err(error) => {
             eprintln!("linnetdeal: {error}");
             ExitCode::FAILURE
--- a/crates/net/src/config.rs
+++ b/crates/net/src/config.rs
@@ -1,6 +1,7 @@
 //! What the daemon is told: its configuration and the lists of discovery, decoded into plain types.
 //! Keys that mean nothing here are ignored.
 
+use linnetdeal_core::membership::{Claim, Evidence, News};
 use linnetdeal_core::settings::{Pairs, span};
 use linnetdeal_core::*;
 use serde::Deserialize;
@@ -219,16 +220,27 @@
         }
     }
 
-    /// The entry as the module has it; `group` is the one known so far, for entries that don't tell theirs.
+    /// What the entry says, as the message of this number.
     #[must_use]
-    pub fn entry(&self, group: Option<GroupId>) -> Entry {
-        Entry {
+    pub fn claim(&self, number: i64) -> Claim {
+        Claim {
             member: self.member(),
-            group: self.cell.map(|cell| GroupId(cell as i64)).or(group).unwrap_or_default(),
+            address: self.address(),
+            group: self.cell.map(|cell| GroupId(cell as i64)),
             state: self.state(),
             primary: self.part.as_deref() == Some("master"),
             started: self.started_at_ms.filter(|ms| *ms > 0.0).map(|ms| Time(span(ms).0)),
             zone: self.zone.clone(),
+            evidence: Evidence { started: None, stamp: number },
         }
     }
 }
+
+impl ServerList {
+    /// What the list says, as the message of this number. The platform's messages come in order and are believed.
+    #[must_use]
+    pub fn news(&self, number: i64, whole: bool) -> News {
+        let claims = self.instances.iter().map(|server| server.claim(number)).collect();
+        if whole || self.reset { News::Full { claims, view: number } } else { News::Changes(claims) }
+    }
+}
--- a/crates/net/src/discovery.rs
+++ b/crates/net/src/discovery.rs
@@ -1,13 +1,13 @@
 //! The watch of discovery: each change is taken as soon as it has been read.
 
-use super::Node;
 use super::buffer::{ReadBuffer, write_all};
 use super::http::{self, HttpError};
 use crate::config::ServerList;
+use crate::counters::Counters;
+use crate::members::{Feed, PLATFORM};
 use async_io::{Async, Timer};
 use event_listener::Event as Bell;
 use futures_lite::future::or;
-use linnetdeal_core::Event;
 use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -56,13 +56,37 @@
     Line,
 }
 
+/// What follows the platform's list.
+pub struct Follower {
+    source: Rc<Source>,
+    feed: Feed,
+    counters: Rc<Counters>,
+    /// The number of the last message: what comes later is newer.
+    messages: Cell<i64>,
+}
+
+impl Follower {
+    /// One that follows `source` and tells `feed`.
+    #[must_use]
+    pub fn new(source: Rc<Source>, feed: Feed, counters: Rc<Counters>) -> Self {
+        Self { source, feed, counters, messages: Cell::new(0) }
+    }
+
+    /// Takes a list in; `whole` overrides what it says of itself.
+    pub fn take(&self, list: &ServerList, whole: bool) {
+        let number = self.messages.get() + 1;
+        self.messages.set(number);
+        self.feed.tell(PLATFORM, list.news(number, whole));
+    }
+}
+
 /// Follows discovery for ever, from the version that is known.
-pub async fn run(node: Rc<Node>, mut generation: u64) {
+pub async fn run(node: Follower, mut generation: u64) {
     let mut pause = FIRST_PAUSE;
     let mut told = false;
     loop {
         let (before, opened) = (generation, Instant::now());
-        let (moved, address) = (node.discovery.moved.listen(), node.discovery.address.get());
+        let (moved, address) = (node.source.moved.listen(), node.source.address.get());
         node.counters.watches.add();
         // An old address may stay silent, and what the new one has to tell binds soon: the watch moves at once.
         let left = async {
@@ -78,15 +102,15 @@
             }
             Err(_) => {}
         }
-        if node.discovery.address.get() != address {
+        if node.source.address.get() != address {
             pause = FIRST_PAUSE;
             continue;
         }
         // Only a watch that fails straight away is not asked for again straight away.
         let lived = generation != before || opened.elapsed() > LONGEST_PAUSE;
         pause = if lived { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
-        let moved = node.discovery.moved.listen();
-        if node.discovery.address.get() == address {
+        let moved = node.source.moved.listen();
+        if node.source.address.get() == address {
             or(moved, async {
                 let _ = Timer::after(pause).await;
             })
@@ -105,7 +129,7 @@
 }
 
 /// One watch, until its connection ends or falls silent.
-async fn watch(node: &Node, address: SocketAddr, generation: &mut u64) -> Result<(), WatchError> {
+async fn watch(node: &Follower, address: SocketAddr, generation: &mut u64) -> Result<(), WatchError> {
     let stream = bounded(Async::<TcpStream>::connect(address)).await?;
     let ask = format!(
         "GET /discovery/hosts?follow=1&since={generation} HTTP/1.1\r\nHost: {address}\r\n\
@@ -146,14 +170,13 @@
 }
 
 /// Takes all whole lines out of `text`; an empty one only tells that the watch lives.
-fn take_lines(node: &Node, text: &mut Vec<u8>, generation: &mut u64) -> Result<(), WatchError> {
+fn take_lines(node: &Follower, text: &mut Vec<u8>, generation: &mut u64) -> Result<(), WatchError> {
     while let Some(end) = text.iter().position(|byte| *byte == b'\n') {
         let line = text[..end].trim_ascii();
         if !line.is_empty() {
             let list: ServerList = serde_json::from_slice(line)?;
             *generation = list.generation;
-            let listing = node.members.take(&list, false);
-            node.driver.feed(Event::List(listing));
+            node.take(&list, false);
         }
         text.drain(..=end);
     }
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -46,7 +46,7 @@
 }
 
 /// Accepts clients until the node turns deaf.
-pub async fn run(node: Rc<Node>, listener: Async<TcpListener>) {
+pub(crate) async fn run(node: Rc<Node>, listener: Async<TcpListener>) {
     loop {
         let accepted = async {
             let room = node.seats.room().await;
@@ -364,7 +364,7 @@
             node.ending.raised().await;
             Cut::ProcessEnds
         };
-        let answer = serve(&node.driver, &node.pool, &asked, or(left, ending)).await;
+        let answer = serve(&node.driver, &*node.pool, &asked, or(left, ending)).await;
         self.buffer.give_back(asked.query.bytes);
         self.answer(answer, out).await
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -20,15 +20,16 @@
 use crate::config::Config;
 use async_executor::LocalExecutor;
 use counters::Counters;
-use discovery::Source;
+use discovery::{Follower, Source};
 use driver::Driver;
 use flag::Flag;
+use linnetdeal_core::Need;
 use linnetdeal_core::Router;
-use linnetdeal_core::{Event, Need};
-use members::Members;
+use members::{Feed, Members};
 use seats::Seats;
 use std::cell::RefCell;
 use std::collections::HashSet;
+use std::future::Future;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -50,19 +51,17 @@
     Signals(std::io::Error),
 }
 
-/// What the tasks of a pooler share.
-pub struct Node {
+/// What the tasks that serve clients share.
+struct Node {
     /// What carries the tasks.
-    pub executor: LocalExecutor<'static>,
+    executor: Rc<LocalExecutor<'static>>,
     /// The module and its mailboxes.
-    pub driver: Rc<Driver>,
-    /// Who the members are.
-    pub members: Rc<Members>,
-    /// The connections to them.
-    pub pool: Pool,
+    driver: Rc<Driver>,
+    /// The connections to the members.
+    pool: Rc<Pool>,
     /// What is counted.
-    pub counters: Rc<Counters>,
-    discovery: Source,
+    counters: Rc<Counters>,
+    source: Rc<Source>,
     config_file: PathBuf,
     longest_deadline: Duration,
     classes: Vec<(String, Need)>,
@@ -71,6 +70,8 @@
     open_ids: RefCell<HashSet<Box<str>>>,
     /// Where bytes are read to that nobody wants.
     scratch: RefCell<Vec<u8>>,
+    /// The pooler has been told to end: it serves on, but wants nothing new for longer than that.
+    draining: Rc<Flag>,
     /// Idle clients are closed.
     closing: Flag,
     /// Nobody is accepted any more.
@@ -86,56 +87,98 @@
     let _ = writeln!(std::io::stderr(), "{line}");
 }
 
-/// Runs a pooler until it has drained after a signal. `config_file` is where `config` was read, and is read
-/// again on SIGHUP.
-///
-/// # Errors
-///
-/// When it can't start.
-pub fn run(config: Config, config_file: PathBuf) -> Result<(), RunError> {
-    let counters = Rc::new(Counters::default());
-    let members = Rc::new(Members::default());
-    let (probes, wanted) = async_channel::unbounded();
-    let classes = config.settings.classes.iter().map(|class| (class.name.clone(), class.need)).collect();
-    let router = Router::new(config.seed, config.settings);
-    let driver = Rc::new(Driver::new(router, counters.clone(), probes));
-    let longest_deadline = config.host.longest_deadline;
-    // Of the descriptors some are kept for the process itself and for clients that are told to go away.
-    let reserve = (config.sockets / 4).min(40);
-    let shared = config.sockets - reserve;
-    let (spare_clients, most_upstream) = ((shared / 24).max(8).min(shared / 4), shared * 3 / 8);
-    let node = Rc::new(Node {
-        executor: LocalExecutor::new(),
-        driver,
-        members: members.clone(),
-        pool: Pool::new(members, counters.clone(), config.host, most_upstream),
-        counters,
-        discovery: Source::new(config.discovery),
-        config_file,
-        longest_deadline,
-        classes,
-        seats: Seats::new(shared - most_upstream - spare_clients, spare_clients, config.sockets / 4),
-        open_ids: RefCell::default(),
-        scratch: RefCell::new(vec![0; SCRATCH]),
-        closing: Flag::default(),
-        deaf: Flag::default(),
-        ending: Flag::default(),
-        ended: Flag::default(),
-    });
+/// A pooler that listens, with nothing served yet. Further sources of members are put beside it before it runs.
+pub struct Pooler {
+    node: Rc<Node>,
+    feed: Feed,
+    name: String,
+    listening: SocketAddr,
+}
+
+impl Pooler {
+    /// Opens all that a pooler needs. `config_file` is where `config` was read, and is read again on SIGHUP.
+    ///
+    /// # Errors
+    ///
+    /// When it can't listen, or signals can't be had.
+    pub fn new(config: Config, config_file: PathBuf) -> Result<Self, RunError> {
+        let counters = Rc::new(Counters::default());
+        let members = Rc::new(Members::default());
+        let executor = Rc::new(LocalExecutor::new());
+        let (probes, wanted) = async_channel::unbounded();
+        let classes = config.settings.classes.iter().map(|class| (class.name.clone(), class.need)).collect();
+        let router = Router::new(config.seed, config.settings);
+        let driver = Rc::new(Driver::new(router, counters.clone(), probes));
+        let longest_deadline = config.host.longest_deadline;
+        // Of the descriptors some are kept for the process itself and for clients that are told to go away.
+        let reserve = (config.sockets / 4).min(40);
+        let shared = config.sockets - reserve;
+        let (spare_clients, most_upstream) = ((shared / 24).max(8).min(shared / 4), shared * 3 / 8);
+        let pool = Rc::new(Pool::new(members.clone(), counters.clone(), config.host, most_upstream));
+        let source = Rc::new(Source::new(config.discovery));
+        let feed = Feed::new(members, driver.clone());
+        let node = Rc::new(Node {
+            executor: executor.clone(),
+            driver: driver.clone(),
+            pool: pool.clone(),
+            counters: counters.clone(),
+            source: source.clone(),
+            config_file,
+            longest_deadline,
+            classes,
+            seats: Seats::new(shared - most_upstream - spare_clients, spare_clients, config.sockets / 4),
+            open_ids: RefCell::default(),
+            scratch: RefCell::new(vec![0; SCRATCH]),
+            draining: Rc::default(),
+            closing: Flag::default(),
+            deaf: Flag::default(),
+            ending: Flag::default(),
+            ended: Flag::default(),
+        });
+
+        // The list last held comes first: a pooler serves from it while discovery is down.
+        let follower = Follower::new(source, feed.clone(), counters);
+        follower.take(&config.known, true);
+        let listener =
+            frontend::listen(config.listen).map_err(|error| RunError::Listen(config.listen, error))?;
+        let listening = listener.get_ref().local_addr().unwrap_or(config.listen);
+        signals::listen(&node).map_err(RunError::Signals)?;
+        let (a, b) = (driver.clone(), pool.clone());
+        executor.spawn(async move { a.run_wakes().await }).detach();
+        executor.spawn(async move { b.run_upkeep().await }).detach();
+        executor.spawn(probes::run(executor.clone(), driver, pool, wanted)).detach();
+        executor.spawn(discovery::run(follower, config.known.generation)).detach();
+        executor.spawn(frontend::run(node.clone(), listener)).detach();
+        Ok(Self { node, feed, name: config.name, listening })
+    }
+
+    /// The way in for what a further source of members tells.
+    #[must_use]
+    pub fn feed(&self) -> Feed {
+        self.feed.clone()
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn listening(&self) -> SocketAddr {
+        self.listening
+    }
+
+    /// Raised as soon as the pooler is told to end.
+    #[must_use]
+    pub fn draining(&self) -> Rc<Flag> {
+        self.node.draining.clone()
+    }
+
+    /// Has a task run beside the others, for as long as the pooler does.
+    pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        self.node.executor.spawn(task).detach();
+    }
 
-    // The list last held comes first: a pooler serves from it while discovery is down.
-    node.driver.feed(Event::List(node.members.take(&config.known, true)));
-    let listener = frontend::listen(config.listen).map_err(|error| RunError::Listen(config.listen, error))?;
-    let listening = listener.get_ref().local_addr().unwrap_or(config.listen);
-    signals::listen(&node).map_err(RunError::Signals)?;
-    let (a, b, c, d, e) = (node.clone(), node.clone(), node.clone(), node.clone(), node.clone());
-    node.executor.spawn(async move { a.driver.run_wakes().await }).detach();
-    node.executor.spawn(async move { b.pool.run_upkeep().await }).detach();
-    node.executor.spawn(probes::run(c, wanted)).detach();
-    node.executor.spawn(discovery::run(d, config.known.generation)).detach();
-    node.executor.spawn(frontend::run(e, listener)).detach();
-    log(&format_args!("{} listening on {listening}", config.name));
-    async_io::block_on(node.executor.run(node.ended.raised()));
-    log(&node.counters);
-    Ok(())
+    /// Serves until it has drained after a signal.
+    pub fn run(self) {
+        log(&format_args!("{} listening on {}", self.name, self.listening));
+        async_io::block_on(self.node.executor.run(self.node.ended.raised()));
+        log(&self.node.counters);
+    }
 }
--- a/crates/net/src/members.rs
+++ b/crates/net/src/members.rs
@@ -1,44 +1,33 @@
-//! Who the members are at this moment, as discovery tells: where each listens and whether it takes new work.
+//! Who the members are at this moment, by all sources that there are, and the way in for what these tell.
 
-use crate::config::{Server, ServerList};
+use crate::driver::Driver;
+use linnetdeal_core::membership::{Doubt, Known, Membership, News, SourceId, Taken};
 use linnetdeal_core::*;
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::rc::Rc;
 
-#[derive(Debug)]
-struct Known {
-    address: Option<SocketAddr>,
-    state: ListState,
-    group: GroupId,
-}
+/// The platform's list, as discovery pushes it.
+pub const PLATFORM: SourceId = SourceId(0);
+/// A registry.
+pub const REGISTRY: SourceId = SourceId(1);
+
+/// Who has been gone for so long is forgotten, and sooner if they are more than so many. It bounds what is held of
+/// members that came and went; a claim staler than that would count as news.
+const REMEMBERS: Span = Span::millis(15 * 60 * 1_000);
+const MOST_GONE: usize = 16 * 1024;
 
 /// The members by id.
-#[derive(Debug, Default)]
-pub struct Members(RefCell<HashMap<MemberId, Known>>);
+#[derive(Debug)]
+pub struct Members(RefCell<Membership>);
 
-impl Members {
-    /// Takes a list and gives it as the module has it. `whole` overrides what the list says of itself.
-    pub fn take(&self, list: &ServerList, whole: bool) -> Listing {
-        let mut known = self.0.borrow_mut();
-        let whole = whole || list.reset;
-        if whole {
-            let named: HashSet<_> = list.instances.iter().map(Server::member).collect();
-            for (_, gone) in known.iter_mut().filter(|(id, _)| !named.contains(*id)) {
-                gone.state = ListState::Gone;
-            }
-        }
-        let mut entries = Vec::with_capacity(list.instances.len());
-        for server in &list.instances {
-            let before = known.get(&server.member());
-            let entry = server.entry(before.map(|known| known.group));
-            let address = server.address().or(before.and_then(|known| known.address));
-            known.insert(entry.member.clone(), Known { address, state: entry.state, group: entry.group });
-            entries.push(entry);
-        }
-        if whole { Listing::Full(entries) } else { Listing::Changes(entries) }
+impl Default for Members {
+    fn default() -> Self {
+        Self(RefCell::new(Membership::new(REMEMBERS, MOST_GONE)))
     }
+}
 
+impl Members {
     /// Where a member listens.
     #[must_use]
     pub fn address(&self, member: &MemberId) -> Option<SocketAddr> {
@@ -50,4 +39,49 @@
     pub fn in_service(&self, member: &MemberId) -> bool {
         self.0.borrow().get(member).is_some_and(|known| known.state == ListState::Healthy)
     }
+
+    /// All that are known, by id.
+    #[must_use]
+    pub fn all(&self) -> Vec<(MemberId, Known)> {
+        self.0.borrow().iter().map(|(id, known)| (id.clone(), known.clone())).collect()
+    }
+}
+
+/// The way in for what a source tells: the members know it before the module does, so that nothing is sent to who has
+/// just been told to drain.
+#[derive(Clone)]
+pub struct Feed {
+    members: Rc<Members>,
+    driver: Rc<Driver>,
+}
+
+impl Feed {
+    /// A way in to these.
+    #[must_use]
+    pub fn new(members: Rc<Members>, driver: Rc<Driver>) -> Self {
+        Self { members, driver }
+    }
+
+    /// Says how a source's full lists are doubted.
+    pub fn doubt(&self, source: SourceId, doubt: Doubt) {
+        self.members.0.borrow_mut().doubt(source, doubt);
+    }
+
+    /// The time on the clock that sources and module share: Unix, in microseconds.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        self.driver.clock.now()
+    }
+
+    /// Takes news in and passes what it changes to the module at once.
+    pub fn tell(&self, source: SourceId, news: News) -> Taken {
+        let taken = self.members.0.borrow_mut().take(self.now(), source, news);
+        if !taken.changed.is_empty() {
+            self.driver.feed(Event::List(Listing::Changes(taken.changed.clone())));
+        }
+        if !taken.forgotten.is_empty() {
+            self.driver.feed(Event::List(Listing::Forgotten(taken.forgotten.clone())));
+        }
+        taken
+    }
 }
--- a/crates/net/src/probes.rs
+++ b/crates/net/src/probes.rs
@@ -1,22 +1,29 @@
 //! Probes, as the module asks for them: each on its own, so that a silent member holds up no other.
 
-use super::Node;
+use crate::driver::Driver;
+use crate::upstream::Pool;
 use async_channel::Receiver;
+use async_executor::LocalExecutor;
 use linnetdeal_core::{Event, MemberId};
 use std::rc::Rc;
 
 /// Carries out the probes that are asked for. Runs as long as the module does.
-pub async fn run(node: Rc<Node>, wanted: Receiver<MemberId>) {
+pub async fn run(
+    executor: Rc<LocalExecutor<'static>>,
+    driver: Rc<Driver>,
+    pool: Rc<Pool>,
+    wanted: Receiver<MemberId>,
+) {
     while let Ok(member) = wanted.recv().await {
-        let prober = node.clone();
-        node.executor.spawn(async move { probe(&prober, member).await }).detach();
+        let (driver, pool) = (driver.clone(), pool.clone());
+        executor.spawn(async move { probe(&driver, &pool, member).await }).detach();
     }
 }
 
-async fn probe(node: &Node, member: MemberId) {
-    let sent = node.driver.clock.now();
-    node.counters.probes.add();
-    let (verdict, report) = node.pool.probe(&member).await;
-    let took = node.driver.clock.now() - sent;
-    node.driver.feed(Event::Probed { member, verdict, took, report });
+async fn probe(driver: &Driver, pool: &Pool, member: MemberId) {
+    let sent = driver.clock.now();
+    driver.counters.probes.add();
+    let (verdict, report) = pool.probe(&member).await;
+    let took = driver.clock.now() - sent;
+    driver.feed(Event::Probed { member, verdict, took, report });
 }
--- a/crates/net/src/signals.rs
+++ b/crates/net/src/signals.rs
@@ -30,7 +30,7 @@
 /// # Errors
 ///
 /// When signals can't be had.
-pub fn listen(node: &Rc<Node>) -> io::Result<()> {
+pub(crate) fn listen(node: &Rc<Node>) -> io::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup, Signal::Usr1])?;
     let listener = node.clone();
     let task = async move {
@@ -59,7 +59,7 @@
         Ok(config) => {
             node.counters.reloads.add();
             super::log(&format_args!("configuration read again, discovery at {}", config.discovery));
-            node.discovery.follow(config.discovery);
+            node.source.follow(config.discovery);
         }
         Err(error) => super::log(&format_args!("configuration kept as it was: {error}")),
     }
@@ -68,6 +68,7 @@
 /// Serves on while there is time, then closes clients as they fall idle, and ends when none is left.
 async fn drain(node: &Node) {
     let started = Instant::now();
+    node.draining.raise();
     super::log(&format_args!("draining with {} clients connected", node.seats.taken()));
     let last = node.longest_deadline.min(LONGEST_COUNTED) + KILL_GRACE - MARGIN;
     Timer::after(last.saturating_sub(PARTING).max(ARRIVALS)).await;
