A Eureka registry is followed beside the platform's list, by an operator's file

Need: other installations keep their boxes in a registry that lags, lies and vanishes. Change: linnetdeal-registry reads Eureka's REST API (JSON and XML as streams, gzip, deltas against the hash code, several servers, TLS, basic auth) and registers the pooler; linnetdeal-operator reads the operator's file, a strict subset of CUE checked against a schema, each fault with its place; the program gets sub-commands (clap) and structured log lines (tracing). All of it is off without an operator's file.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -21,6 +21,11 @@
     /// The stamp of the member's last change of itself (Eureka's `lastDirtyTimestamp`, in its own unit), or the number
     /// of the message where a source's messages come in order.
     pub stamp: i64,
+    /// The memory that tells it: a server of a registry, by number, and the lease that it holds, by its begin. Of one
+    /// start and one stamp, the later word counts as newer if both come from one memory; `None` has none.
+    pub memory: Option<(usize, i64)>,
+    /// When that memory last changed it, by its own clock.
+    pub told: i64,
 }
 
 /// How one piece of evidence stands to another.
@@ -39,7 +44,9 @@
     #[must_use]
     pub fn against(&self, held: &Self) -> Age {
         let starts = self.started.zip(held.started).map(|(new, old)| new.cmp(&old));
-        match starts.unwrap_or(std::cmp::Ordering::Equal).then(self.stamp.cmp(&held.stamp)) {
+        let one_memory = self.memory.is_some() && self.memory == held.memory;
+        let words = if one_memory { self.told.cmp(&held.told) } else { std::cmp::Ordering::Equal };
+        match starts.unwrap_or(std::cmp::Ordering::Equal).then(self.stamp.cmp(&held.stamp)).then(words) {
             std::cmp::Ordering::Greater => Age::Newer,
             std::cmp::Ordering::Equal => Age::Same,
             std::cmp::Ordering::Less => Age::Older,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,33 +1,146 @@
-//! The pooler on real sockets.
+//! The pooler on real sockets, and what its operators ask of it.
 
+mod logging;
+mod members;
+mod registry;
+
+use clap::{Args, Parser, Subcommand};
+use linnetdeal_net::Pooler;
 use linnetdeal_net::config::Config;
+use linnetdeal_operator::Operator;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// The exit code for a configuration that can't be used, as sysexits.h has it.
 const BAD_CONFIG: u8 = 78;
 
+/// A pooler that routes reads and writes over a primary and its replicas.
+#[derive(Parser)]
+#[command(name = "linnetdeal", version, args_conflicts_with_subcommands = true)]
+struct Cli {
+    #[command(subcommand)]
+    command: Option<Command>,
+    #[command(flatten)]
+    run: Files,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serve, in the foreground. This is what happens without a command, too.
+    Run(Files),
+    /// Read the files that a start would read, and say all that is wrong with them.
+    Check {
+        /// An operator's file.
+        file: Option<PathBuf>,
+        /// The platform's configuration.
+        #[arg(long, env = "GW_CONFIG")]
+        config: Option<PathBuf>,
+        /// Print the schema of the operator's file and end.
+        #[arg(long)]
+        schema: bool,
+    },
+    /// Ask the registry once, and print whom this pooler would believe to be a member.
+    Members {
+        /// The operator's file.
+        #[arg(long, env = "LINNETDEAL_OPERATOR")]
+        operator: PathBuf,
+        /// As one JSON object.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+#[derive(Args)]
+struct Files {
+    /// The platform's configuration.
+    #[arg(env = "GW_CONFIG")]
+    config: Option<PathBuf>,
+    /// The operator's file.
+    #[arg(long, env = "LINNETDEAL_OPERATOR")]
+    operator: Option<PathBuf>,
+}
+
 fn main() -> ExitCode {
-    let path = std::env::args_os().nth(1).or_else(|| std::env::var_os("GW_CONFIG")).map(PathBuf::from);
-    let Some(path) = path else {
-        eprintln!("linnetdeal: name a configuration, as GW_CONFIG or as the only argument");
-        return ExitCode::from(BAD_CONFIG);
+    let cli = Cli::parse();
+    let done = match cli.command {
+        None => run(cli.run),
+        Some(Command::Run(files)) => run(files),
+        Some(Command::Check { schema: true, .. }) => {
+            print!("{}", linnetdeal_operator::SCHEMA);
+            Ok(())
+        }
+        Some(Command::Check { file, config, .. }) => check(file, config),
+        Some(Command::Members { operator, json }) => members::show(&operator, json),
     };
-    let config = match Config::load(&path) {
-        Ok(config) => config,
-        Err(error) => {
-            eprintln!("linnetdeal: {error}");
-            return ExitCode::from(BAD_CONFIG);
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(End { code, words }) => {
+            use std::io::Write;
+            // A closed standard error changes nothing.
+            let _ = writeln!(std::io::stderr(), "{words}");
+            ExitCode::from(code)
         }
+    }
+}
+
+/// Why the program ends, in words, and with which exit code.
+struct End {
+    code: u8,
+    words: String,
+}
+
+impl End {
+    /// Something in a file is wrong.
+    fn config(error: impl std::fmt::Display) -> Self {
+        Self { code: BAD_CONFIG, words: format!("linnetdeal: {error}") }
+    }
+
+    fn other(error: impl std::fmt::Display) -> Self {
+        Self { code: 1, words: format!("linnetdeal: {error}") }
+    }
+}
+
+fn run(files: Files) -> Result<(), End> {
+    let Some(path) = files.config else {
+        return Err(End::config("name a configuration, as GW_CONFIG or as the only argument"));
     };
-    match linnetdeal_net::Pooler::new(config, path) {
-        Ok(pooler) => {
-            pooler.run();
-            ExitCode::SUCCESS
+    let operator = match &files.operator {
+        None => Operator::default(),
+        Some(path) => Operator::load(path).map_err(End::config)?,
+    };
+    let config = Config::load(&path).map_err(End::config)?;
+    logging::start(&operator.log);
+    let (name, seed) = (config.name.clone(), config.seed);
+    let pooler = Pooler::new(config, path).map_err(End::other)?;
+    match &operator.registry {
+        None => pooler.run(std::future::ready(())),
+        Some(settings) => {
+            let last = registry::follow(&pooler, settings, &name, seed).map_err(End::config)?;
+            pooler.run(last);
         }
-        Err(error) => {
-            eprintln!("linnetdeal: {error}");
-            ExitCode::FAILURE
+    }
+    Ok(())
+}
+
+fn check(file: Option<PathBuf>, config: Option<PathBuf>) -> Result<(), End> {
+    if file.is_none() && config.is_none() {
+        return Err(End::config(
+            "nothing to check: name an operator's file, or a configuration with --config",
+        ));
+    }
+    // All that is wrong is told, not just the first.
+    let mut wrong = Vec::new();
+    if let Some(path) = &file {
+        match Operator::load(path) {
+            Err(faults) => wrong.push(faults.to_string()),
+            Ok(Operator { registry: Some(settings), .. }) => {
+                wrong.extend(registry::check(&settings).err().map(|error| error.to_string()));
+            }
+            Ok(_) => {}
         }
     }
+    if let Some(path) = &config {
+        wrong.extend(Config::load(path).err().map(|error| error.to_string()));
+    }
+    if wrong.is_empty() { Ok(()) } else { Err(End { code: BAD_CONFIG, words: wrong.join("\n") }) }
 }
--- /dev/null
+++ b/crates/daemon/src/members.rs
@@ -0,0 +1,92 @@
+//! `linnetdeal members`: whom a pooler with this operator's file would believe to be a member now.
+
+use crate::{End, registry};
+use linnetdeal_core::membership::{Membership, News, SourceId, Taken};
+use linnetdeal_core::{ListState, Span, Time};
+use linnetdeal_operator::Operator;
+use linnetdeal_registry::follow::{Counters, Follower, Sink};
+use serde_json::json;
+use std::cell::RefCell;
+use std::fmt;
+use std::io::Write;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+#[derive(Clone)]
+struct Table(Rc<RefCell<Membership>>);
+
+impl Sink for Table {
+    fn now(&self) -> Time {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Time(i64::try_from(now.as_micros()).unwrap_or(i64::MAX))
+    }
+
+    fn tell(&self, news: News) -> Taken {
+        self.0.borrow_mut().take(self.now(), SourceId(0), news)
+    }
+
+    fn log(&self, line: &dyn fmt::Display) {
+        let _ = writeln!(std::io::stderr(), "{line}");
+    }
+}
+
+/// Asks the registry of an operator's file and prints its members.
+pub fn show(operator: &Path, as_json: bool) -> Result<(), End> {
+    let operator = Operator::load(operator).map_err(End::config)?;
+    let settings = operator.registry.ok_or_else(|| End::config("no registry stands in this file"))?;
+    let registry = registry::registry(&settings, None).map_err(End::config)?;
+    let servers = registry.servers.len();
+    let table = Table(Rc::new(RefCell::new(Membership::new(Span::millis(0), usize::MAX))));
+    let counters = Rc::new(Counters::default());
+    let mut follower = Follower::new(registry, 0, table.clone(), counters.clone()).map_err(End::config)?;
+    let asked = futures_lite::future::block_on(async {
+        let mut last = None;
+        for _ in 0..servers {
+            match follower.ask().await {
+                Ok(_) => return Ok(()),
+                Err(error) => last = Some(error),
+            }
+        }
+        last.map_or(Ok(()), Err)
+    });
+    asked.map_err(|error| End::other(format!("no server of the registry answered: {error}")))?;
+    let members = table.0.borrow();
+    let state = |state| match state {
+        ListState::Healthy => "up",
+        ListState::Draining => "draining",
+        ListState::Gone => "gone",
+    };
+    let mut out = String::new();
+    if as_json {
+        let rows: Vec<_> = members
+            .iter()
+            .map(|(id, known)| {
+                json!({"member": &*id.0, "address": known.address.map(|at| at.to_string()), "group": known.group.0,
+                       "zone": known.zone, "state": state(known.state), "primary": known.primary,
+                       "started_ms": known.started.map(|at| at.0 / 1_000)})
+            })
+            .collect();
+        out = json!({"members": rows, "refused": counters.refused.get(), "outside": counters.outside.get(),
+                     "unreadable": counters.unreadable.get()})
+        .to_string()
+            + "\n";
+    } else {
+        let row = |cells: [&str; 6]| {
+            let [member, address, group, zone, state, role] = cells;
+            format!("{member:<24} {address:<24} {group:>6} {zone:<12} {state:<9} {role}\n")
+        };
+        out += &row(["MEMBER", "ADDRESS", "GROUP", "ZONE", "STATE", "ROLE"]);
+        for (id, known) in members.iter() {
+            let address = known.address.map_or("-".to_owned(), |at| at.to_string());
+            let zone = if known.zone.is_empty() { "-" } else { &known.zone };
+            let role = if known.primary { "primary" } else { "-" };
+            out += &row([&id.0, &address, &known.group.0.to_string(), zone, state(known.state), role]);
+        }
+        let (refused, outside) = (counters.refused.get(), counters.outside.get());
+        if refused > 0 {
+            out += &format!("{refused} refused, of which {outside} lie outside of the networks\n");
+        }
+    }
+    std::io::stdout().write_all(out.as_bytes()).map_err(End::other)
+}
--- a/crates/net/src/config.rs
+++ b/crates/net/src/config.rs
@@ -40,8 +40,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// Where discovery answers.
-    pub discovery: SocketAddr,
+    /// Where discovery answers; `None` where members are known from elsewhere.
+    pub discovery: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// The descriptors that the process may hold.
@@ -72,7 +72,8 @@
     #[serde(default)]
     name: String,
     listen: SocketAddr,
-    discovery: SocketAddr,
+    #[serde(default)]
+    discovery: Option<SocketAddr>,
     #[serde(default)]
     seed: Value,
     #[serde(default)]
@@ -231,7 +232,7 @@
             primary: self.part.as_deref() == Some("master"),
             started: self.started_at_ms.filter(|ms| *ms > 0.0).map(|ms| Time(span(ms).0)),
             zone: self.zone.clone(),
-            evidence: Evidence { started: None, stamp: number },
+            evidence: Evidence { stamp: number, ..Evidence::default() },
         }
     }
 }
--- a/crates/net/src/discovery.rs
+++ b/crates/net/src/discovery.rs
@@ -25,19 +25,19 @@
 /// Where discovery is followed; it may move while the pooler runs.
 #[derive(Debug)]
 pub struct Source {
-    address: Cell<SocketAddr>,
+    address: Cell<Option<SocketAddr>>,
     moved: Bell,
 }
 
 impl Source {
-    /// One that is followed at `address`.
+    /// One that is followed at `address`, or nowhere yet.
     #[must_use]
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: Option<SocketAddr>) -> Self {
         Self { address: Cell::new(address), moved: Bell::new() }
     }
 
     /// Follows discovery at `address` from now on.
-    pub fn follow(&self, address: SocketAddr) {
+    pub fn follow(&self, address: Option<SocketAddr>) {
         if self.address.replace(address) != address {
             self.moved.notify(usize::MAX);
         }
@@ -86,7 +86,11 @@
     let mut told = false;
     loop {
         let (before, opened) = (generation, Instant::now());
-        let (moved, address) = (node.source.moved.listen(), node.source.address.get());
+        let (moved, followed) = (node.source.moved.listen(), node.source.address.get());
+        let Some(address) = followed else {
+            moved.await;
+            continue;
+        };
         node.counters.watches.add();
         // An old address may stay silent, and what the new one has to tell binds soon: the watch moves at once.
         let left = async {
@@ -97,12 +101,12 @@
             // A dropped watch is nothing to report; an answer that makes no sense is, once.
             Err(WatchError::Io(_)) | Ok(()) => {}
             Err(error) if !told => {
-                super::log(&format_args!("discovery: {error}"));
+                tracing::warn!("discovery: {error}");
                 told = true;
             }
             Err(_) => {}
         }
-        if node.source.address.get() != address {
+        if node.source.address.get() != followed {
             pause = FIRST_PAUSE;
             continue;
         }
@@ -110,7 +114,7 @@
         let lived = generation != before || opened.elapsed() > LONGEST_PAUSE;
         pause = if lived { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
         let moved = node.source.moved.listen();
-        if node.source.address.get() == address {
+        if node.source.address.get() == followed {
             or(moved, async {
                 let _ = Timer::after(pause).await;
             })
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -92,7 +92,7 @@
             Action::Wake { at } => drop(self.wakes.0.try_send(at)),
             // The list is always followed.
             Action::Subscribe => {}
-            Action::Log { line } => super::log(&line),
+            Action::Log { line } => tracing::info!(target: "decisions", "{line}"),
         }
     }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -29,8 +29,8 @@
 use seats::Seats;
 use std::cell::RefCell;
 use std::collections::HashSet;
+use std::fmt::Display;
 use std::future::Future;
-use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -70,6 +70,8 @@
     open_ids: RefCell<HashSet<Box<str>>>,
     /// Where bytes are read to that nobody wants.
     scratch: RefCell<Vec<u8>>,
+    /// What else is shown beside the counters.
+    shown: RefCell<Vec<Rc<dyn Display>>>,
     /// The pooler has been told to end: it serves on, but wants nothing new for longer than that.
     draining: Rc<Flag>,
     /// Idle clients are closed.
@@ -82,9 +84,14 @@
     ended: Flag,
 }
 
-/// Writes a line to standard error. Where nobody reads it, it is lost, and nothing else happens.
-fn log(line: &dyn std::fmt::Display) {
-    let _ = writeln!(std::io::stderr(), "{line}");
+impl Node {
+    /// Writes the counters to the log.
+    fn show(&self) {
+        tracing::info!("{}", self.counters);
+        for what in self.shown.borrow().iter() {
+            tracing::info!("{what}");
+        }
+    }
 }
 
 /// A pooler that listens, with nothing served yet. Further sources of members are put beside it before it runs.
@@ -129,6 +136,7 @@
             seats: Seats::new(shared - most_upstream - spare_clients, spare_clients, config.sockets / 4),
             open_ids: RefCell::default(),
             scratch: RefCell::new(vec![0; SCRATCH]),
+            shown: RefCell::default(),
             draining: Rc::default(),
             closing: Flag::default(),
             deaf: Flag::default(),
@@ -175,10 +183,19 @@
         self.node.executor.spawn(task).detach();
     }
 
-    /// Serves until it has drained after a signal.
-    pub fn run(self) {
-        log(&format_args!("{} listening on {}", self.name, self.listening));
-        async_io::block_on(self.node.executor.run(self.node.ended.raised()));
-        log(&self.node.counters);
+    /// Has this shown beside the counters, on request and at the end.
+    pub fn show(&self, what: Rc<dyn Display>) {
+        self.node.shown.borrow_mut().push(what);
+    }
+
+    /// Serves until it has drained after a signal, and then does the `last` thing.
+    pub fn run(self, last: impl Future<Output = ()>) {
+        tracing::info!("{} listening on {}", self.name, self.listening);
+        let node = &self.node;
+        async_io::block_on(node.executor.run(async {
+            node.ended.raised().await;
+            last.await;
+        }));
+        node.show();
     }
 }
--- a/crates/net/src/signals.rs
+++ b/crates/net/src/signals.rs
@@ -1,6 +1,6 @@
 //! Signals: SIGTERM or SIGINT drains the pooler, SIGHUP reads the configuration again, SIGUSR1 prints the counters.
 
-use super::Node;
+use crate::Node;
 use crate::config::Config;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
@@ -37,7 +37,7 @@
         let mut draining = false;
         while let Some(signal) = signals.next().await {
             match signal {
-                Ok(Signal::Usr1) => super::log(&listener.counters),
+                Ok(Signal::Usr1) => listener.show(),
                 Ok(Signal::Hup) => reload(&listener),
                 _ if std::mem::replace(&mut draining, true) => {}
                 _ => {
@@ -58,10 +58,10 @@
     match Config::load(&node.config_file) {
         Ok(config) => {
             node.counters.reloads.add();
-            super::log(&format_args!("configuration read again, discovery at {}", config.discovery));
+            tracing::info!("configuration read again, discovery at {:?}", config.discovery);
             node.source.follow(config.discovery);
         }
-        Err(error) => super::log(&format_args!("configuration kept as it was: {error}")),
+        Err(error) => tracing::warn!("configuration kept as it was: {error}"),
     }
 }
 
@@ -69,7 +69,7 @@
 async fn drain(node: &Node) {
     let started = Instant::now();
     node.draining.raise();
-    super::log(&format_args!("draining with {} clients connected", node.seats.taken()));
+    tracing::info!("draining with {} clients connected", node.seats.taken());
     let last = node.longest_deadline.min(LONGEST_COUNTED) + KILL_GRACE - MARGIN;
     Timer::after(last.saturating_sub(PARTING).max(ARRIVALS)).await;
     node.closing.raise();
--- /dev/null
+++ b/crates/operator/src/schema.cue
@@ -0,0 +1,96 @@
+// What may stand in an operator's file. Records are closed: a field that is not named here is an error.
+package linnetdeal
+
+// A length of time with its unit.
+#Duration: =~"^[1-9][0-9]{0,8}(ms|s|m|h)$"
+// An amount of memory with its unit.
+#Size: =~"^[1-9][0-9]{0,5}(KB|MB)$"
+// A path of a file.
+#Path: =~"^[^\n]{1,4096}$"
+// A word that stands in URLs and ids.
+#Word: =~"^[A-Za-z0-9._:-]{1,128}$"
+
+// A server of a registry. Names are not looked up: 'at' says where a host that is a name listens.
+#Server: {
+	url!: =~"^https?://[^ @?#]+$"
+	at?:  =~"^[0-9a-fA-F.:\\[\\]]+:[0-9]+$"
+}
+
+// A network in which boxes may lie, and the zone of what lies in it.
+#Network: {
+	prefix!: =~"^[0-9a-fA-F.:]+/[0-9]{1,3}$"
+	zone:    string | *""
+}
+
+// The password is the first line of a file that only its owner may read.
+#User: {
+	name!:          =~"^[^:\n]{1,256}$"
+	password_file!: #Path
+}
+
+// The own certificate, and its key in a file that only its owner may read.
+#Identity: {
+	certificate!: #Path
+	key!:         #Path
+}
+
+// What this pooler says of itself in the registry.
+#Own: {
+	app!:    #Word
+	id?:     #Word
+	renew:   #Duration | *"30s"
+	expires: #Duration | *"90s"
+}
+
+// A registry that speaks Eureka's REST API.
+#Registry: {
+	// Asked in this order; the next one when one fails.
+	servers!: [...#Server]
+	// The applications whose instances are boxes.
+	apps!: [...#Word]
+	// Where boxes may lie. What lies elsewhere gets nothing.
+	networks!: [...#Network]
+	// What is asked for: 'delta' follows changes, 'full' reads all each time, 'app' and 'vip' read what is named there.
+	read: *"delta" | "full" | "app" | "vip"
+	// The virtual address, where 'vip' is read.
+	vip: string | *""
+	// How often.
+	interval: #Duration | *"30s"
+	// A call may take so long, and the longest pause while all servers fail.
+	patience:      #Duration | *"10s"
+	longest_pause: #Duration | *"60s"
+	// A larger body is not read.
+	most_body: #Size | *"64MB"
+	// A list that lacks more than this share of the boxes in service is not believed, nor is an empty one,
+	lost_share: number & >=0 & <=1 | *0.5
+	// until it has told the same for so long; "never" for ever.
+	believe_after: #Duration | *"never"
+	// Once an override is taken back: 'registration' waits for the box to register anew, 'override' takes it as lifted.
+	lifts: *"registration" | "override"
+	// The metadata keys that hold these.
+	metadata: {
+		group:   string | *"group"
+		zone:    string | *"zone"
+		role:    string | *"role"
+		started: string | *"startedAtMs"
+	}
+	// The role of a primary, and the group of who names none.
+	primary: string | *"primary"
+	group?:  int & >=0 & <=1000000
+	// Whether boxes are reached on their secure port.
+	secure_port: bool | *false
+	user?:       #User
+	// Who may vouch for servers, where these speak TLS.
+	ca?:       #Path
+	identity?: #Identity
+	register?: #Own
+}
+
+// What is written to standard error.
+#Log: {
+	level:  "error" | "warn" | *"info" | "debug"
+	format: *"text" | "json"
+}
+
+registry?: #Registry
+log:       #Log
--- /dev/null
+++ b/crates/operator/tests/files.rs
@@ -0,0 +1,115 @@
+//! Files that are good, and files that are not: each fault with its place.
+
+use linnetdeal_operator::{Operator, ReadWhat};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::time::Duration;
+
+const GOOD: &str = r#"
+package linnetdeal
+
+// A registry beside the platform's list.
+registry: {
+	servers: [{url: "http://127.0.0.1:8761/eureka"}, {
+		url: "https://registry.example/eureka"
+		at:  "10.0.0.5:8443"
+	}]
+	apps: ["DB"], networks: [{prefix: "10.1.0.0/16", zone: "adum"}, {prefix: "fd00::/8"}]
+	interval: "5s"
+	lost_share: 0.25
+	register: _pooler
+}
+log: level: "warn"
+"#;
+
+fn decode(text: &str) -> Result<Operator, String> {
+    Operator::decode("operator.cue", text.as_bytes()).map_err(|faults| faults.to_string())
+}
+
+fn good() -> String {
+    GOOD.replace("log: level: \"warn\"", "log: {level: \"warn\"}\n_pooler: {app: \"POOLER\", renew: \"10s\"}")
+}
+
+#[test]
+fn a_file_is_read_with_its_defaults() {
+    let operator = decode(&good()).unwrap();
+    let registry = operator.registry.unwrap();
+    assert_eq!(registry.interval, Duration::from_secs(5));
+    assert_eq!(registry.patience, Duration::from_secs(10));
+    assert_eq!((registry.lost_share, registry.believe_after, registry.read), (0.25, None, ReadWhat::Delta));
+    assert_eq!(registry.servers[1].at.unwrap().port(), 8443);
+    assert_eq!(registry.networks[1].prefix.to_string(), "fd00::/8");
+    assert_eq!(registry.most_body, 64 << 20);
+    assert_eq!(registry.metadata.group, "group");
+    let own = registry.register.unwrap();
+    assert_eq!((own.renew, own.expires), (Duration::from_secs(10), Duration::from_secs(90)));
+    assert_eq!(operator.log.level, "warn");
+    assert_eq!(decode("").unwrap(), Operator::default(), "nothing in it, nothing wanted");
+}
+
+#[test]
+fn each_fault_is_told_with_its_place() {
+    let cases = [
+        (
+            "interval: \"5s\"",
+            "intervall: \"5s\"",
+            "11:2: there is no field 'intervall' here; is 'interval' meant?",
+        ),
+        ("\"5s\"", "5", "11:12: 'interval': 5 does not fit =~"),
+        ("\"5s\"", "\"5 s\"", "11:12: 'interval': \"5 s\" does not fit"),
+        ("\"5s\"", "\"5ms\"", "11:12: 'registry.interval': 5ms is not between 100ms and 3600s"),
+        ("0.25", "1.5", "12:14: 'lost_share': 1.5 does not fit number & >=0 & <=1 or 0.5"),
+        ("0.25", "\"much\"", "12:14: 'lost_share': \"much\" does not fit"),
+        ("\"10.1.0.0/16\"", "\"10.1.0.1/16\"", "'registry.networks[0].prefix': 10.1.0.1/16 has bits set"),
+        ("fd00::/8", "10.1.0.0/16", "'registry.networks[1].prefix': 10.1.0.0/16 is named twice"),
+        ("apps: [\"DB\"]", "apps: []", "10:8: 'registry.apps': 0 are named"),
+        ("apps: [\"DB\"], ", "", "'registry.apps' is missing"),
+        ("url: \"http://", "url: \"ftp://", "does not fit =~\"^https?"),
+        ("\"10.0.0.5:8443\"", "\"10.0.0.5:99999\"", "'registry.servers[1].at': invalid socket address"),
+        ("_pooler\n", "_poler\n", "13:12: '_poler' is not defined; is '_pooler' meant?"),
+        ("\"10s\"}", "\"80s\"}", "one renewal that is lost must not end it"),
+        ("\"10s\"}", "\"10s\"", "expected"),
+        ("interval: \"5s\"", "interval: \"5s\"\n\tinterval: \"5s\"", "12:2: 'interval' stands here twice"),
+        (
+            "\"warn\"",
+            "\"loud\"",
+            "15:14: 'level': \"loud\" does not fit \"error\" or \"warn\" or \"info\" or \"debug\"",
+        ),
+        ("\"5s\"", "\"5s\"\n\tread: \"vip\"", "'registry.vip': it goes with read"),
+        ("log:", "#Own: {}\nlog:", "15:1: '#Own' is defined already"),
+        ("\"5s\"", "_loop\n", "it refers to itself"),
+    ];
+    for (from, to, told) in cases {
+        let text =
+            good().replacen(from, to, 1) + if to.starts_with("_loop") { "\n_loop: _loop\n" } else { "" };
+        let faults = decode(&text).expect_err(to);
+        assert!(faults.contains(told), "'{to}' gives\n{faults}\nand not\n{told}");
+    }
+}
+
+#[test]
+fn all_faults_are_told_at_once() {
+    let text = good().replace("\"5s\"", "7").replace("0.25", "2").replace("\"warn\"", "3");
+    let faults = Operator::decode("f", text.as_bytes()).unwrap_err().faults;
+    assert_eq!(faults.iter().map(|fault| fault.place.line).collect::<Vec<_>>(), [11, 12, 15]);
+}
+
+#[test]
+fn what_goes_too_deep_or_is_too_long_is_an_error_and_no_end() {
+    for text in ["[".repeat(100_000), format!("a: {}", "{b: ".repeat(5_000)), "a: (".repeat(9_999)] {
+        assert!(decode(&text).unwrap_err().contains("deep"));
+    }
+    assert!(decode(&"// long\n".repeat(40_000)).unwrap_err().contains("longer than"));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(3), failure_persistence: None, cases: 400, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_file_makes_it_panic(cut in 0..700_usize, junk in "[ -~\\n]{0,12}", keep in any::<bool>()) {
+        let text = good();
+        let cut = cut.min(text.len());
+        let rest = if keep { &text[cut..] } else { "" };
+        let _ = decode(&format!("{}{junk}{rest}", &text[..cut]));
+    }
+}
--- /dev/null
+++ b/crates/registry/src/client.rs
@@ -0,0 +1,427 @@
+//! HTTP to one server of a registry at a time, over one kept connection, in the clear or over TLS. No request lasts
+//! longer than it is given, and nothing of a request is in memory but the frame that has just come.
+
+use async_io::{Async, Timer};
+use base64::Engine;
+use flate2::write::GzDecoder;
+use futures_lite::future::or;
+use futures_rustls::TlsConnector;
+use futures_rustls::rustls::{ClientConfig, RootCertStore};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Bytes;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{self, HeaderValue};
+use hyper::{Method, Request, Uri};
+use linnetdeal_core::Span;
+use rustls_pki_types::pem::PemObject;
+use rustls_pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use smol_hyper::rt::FuturesIo;
+use std::future::Future;
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Why a server gave no answer that can be used.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// No connection.
+    #[error("no connection: {0}")]
+    Connect(io::Error),
+    /// The connection broke, or what came is no HTTP.
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    /// The time ran out.
+    #[error("no answer within {0:?}")]
+    Late(Duration),
+    /// The server said no.
+    #[error("status {status}")]
+    Status {
+        /// What it said.
+        status: u16,
+        /// When to come back, if it said so.
+        retry_after: Option<Span>,
+    },
+    /// The body is of no kind that is read here.
+    #[error("a body of type '{0}'")]
+    Type(String),
+    /// The body can't be read.
+    #[error("the body: {0}")]
+    Body(String),
+}
+
+/// Why a server can't be called at all, whatever it would answer.
+#[derive(Debug, thiserror::Error)]
+pub enum SetupError {
+    /// Its URL is none that can be called.
+    #[error("url '{url}': {what}")]
+    Url {
+        /// The URL, without what may be secret in it.
+        url: String,
+        /// What is wrong.
+        what: &'static str,
+    },
+    /// A file can't be used.
+    #[error("{path}: {what}")]
+    File {
+        /// Its path.
+        path: String,
+        /// What is wrong.
+        what: String,
+    },
+    /// TLS can't be set up.
+    #[error("tls: {0}")]
+    Tls(#[from] futures_rustls::rustls::Error),
+}
+
+/// A server of a registry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Server {
+    tls: bool,
+    host: String,
+    address: SocketAddr,
+    authority: String,
+    path: String,
+}
+
+impl Server {
+    /// From a URL such as `http://127.0.0.1:8761/eureka`. The host is an address: names are not looked up; `at` gives
+    /// the address of a host that is a name, which then only TLS looks at.
+    ///
+    /// # Errors
+    ///
+    /// When it is none.
+    pub fn new(url: &str, at: Option<SocketAddr>) -> Result<Self, SetupError> {
+        let shown = url.rsplit_once('@').map_or(url, |(_, rest)| rest).to_owned();
+        let bad = |what| SetupError::Url { url: shown.clone(), what };
+        let uri: Uri = url.parse().map_err(|_| bad("no URL"))?;
+        let tls = match uri.scheme_str() {
+            Some("http") => false,
+            Some("https") => true,
+            _ => return Err(bad("neither http nor https")),
+        };
+        let authority = uri.authority().ok_or_else(|| bad("no host"))?;
+        if authority.as_str().contains('@') {
+            return Err(bad("a user stands in it; name a user and a password file instead"));
+        }
+        let host = authority.host().trim_start_matches('[').trim_end_matches(']').to_owned();
+        let port = authority.port_u16().unwrap_or(if tls { 443 } else { 80 });
+        let address = at.or_else(|| host.parse().ok().map(|ip| SocketAddr::new(ip, port)));
+        let address =
+            address.ok_or_else(|| bad("the host is a name, and names are not looked up: give 'at'"))?;
+        if uri.query().is_some() {
+            return Err(bad("a query stands in it"));
+        }
+        let path = uri.path().trim_end_matches('/').to_owned();
+        Ok(Self { tls, host, address, authority: authority.to_string(), path })
+    }
+
+    /// Whether it is called over TLS.
+    #[must_use]
+    pub fn is_tls(&self) -> bool {
+        self.tls
+    }
+
+    /// As it is named in the log.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.authority
+    }
+}
+
+/// How servers are called.
+#[derive(Clone, Debug, Default)]
+pub struct Access {
+    /// A user, with the file that holds the password.
+    pub user: Option<(String, PathBuf)>,
+    /// The certificates of those who may vouch for a server, as PEM.
+    pub ca: Option<PathBuf>,
+    /// The own certificate and key, as PEM.
+    pub identity: Option<(PathBuf, PathBuf)>,
+}
+
+/// Calls servers, one at a time.
+pub struct Client {
+    tls: Option<TlsConnector>,
+    authorization: Option<HeaderValue>,
+    patience: Duration,
+    kept: Option<(Server, Connection)>,
+    connects: u64,
+}
+
+struct Connection {
+    send: SendRequest<Full<Bytes>>,
+    driver: Pin<Box<dyn Future<Output = ()>>>,
+}
+
+/// What a call asks for.
+#[derive(Debug)]
+pub struct Call<'a> {
+    /// The method.
+    pub method: Method,
+    /// The path behind the server's own, with a slash in front.
+    pub path: &'a str,
+    /// A JSON body.
+    pub body: Option<Vec<u8>>,
+}
+
+impl Call<'_> {
+    /// One that reads.
+    #[must_use]
+    pub fn get(path: &str) -> Call<'_> {
+        Call { method: Method::GET, path, body: None }
+    }
+}
+
+impl Client {
+    /// A client; all files that `access` names are read now.
+    ///
+    /// # Errors
+    ///
+    /// When a file can't be read, a secret one can be read by others, or TLS can't be set up.
+    pub fn new(access: &Access, tls: bool, patience: Duration) -> Result<Self, SetupError> {
+        let authorization = match &access.user {
+            None => None,
+            Some((user, file)) => Some(basic(user, file)?),
+        };
+        let tls = if tls { Some(connector(access)?) } else { None };
+        Ok(Self { tls, authorization, patience, kept: None, connects: 0 })
+    }
+
+    /// How many connections were opened.
+    #[must_use]
+    pub fn connects(&self) -> u64 {
+        self.connects
+    }
+
+    /// Makes a call. What the body holds goes to `take` piece by piece, unpacked, and its type before that; an error of
+    /// it ends the call. A connection is kept for the next call only after a whole answer.
+    ///
+    /// # Errors
+    ///
+    /// When there is no answer in time, it says no, or it can't be read.
+    pub async fn call(
+        &mut self,
+        server: &Server,
+        call: Call<'_>,
+        take: &mut dyn FnMut(Chunk<'_>) -> Result<(), String>,
+    ) -> Result<(), CallError> {
+        let patience = self.patience;
+        let late = async {
+            Timer::after(patience).await;
+            Err(CallError::Late(patience))
+        };
+        let kept = self.kept.take().filter(|(of, connection)| of == server && !connection.send.is_closed());
+        let work = async {
+            let mut connection = match kept {
+                Some((_, connection)) if alive(&connection).await => connection,
+                _ => {
+                    self.connects += 1;
+                    connect(self.tls.as_ref(), server).await?
+                }
+            };
+            let Connection { send, driver } = &mut connection;
+            let request = request(server, call, self.authorization.as_ref());
+            let exchange = exchange(send, request, take);
+            // The driver moves the bytes; should it end first, the exchange learns why.
+            let moved = async {
+                driver.as_mut().await;
+                std::future::pending().await
+            };
+            or(exchange, moved).await?;
+            Ok(connection)
+        };
+        let connection = or(work, late).await?;
+        self.kept = Some((server.clone(), connection));
+        Ok(())
+    }
+}
+
+/// What comes of a body.
+#[derive(Clone, Copy, Debug)]
+pub enum Chunk<'a> {
+    /// What type it says to be.
+    Type(&'a str),
+    /// Bytes of it, unpacked.
+    Data(&'a [u8]),
+}
+
+/// Whether a kept connection can carry a call. A server that closed it meanwhile shows only once it is looked at.
+async fn alive(connection: &Connection) -> bool {
+    connection.send.is_ready()
+}
+
+fn request(server: &Server, call: Call<'_>, authorization: Option<&HeaderValue>) -> Request<Full<Bytes>> {
+    let json = call.body.is_some();
+    let mut request = Request::new(Full::new(Bytes::from(call.body.unwrap_or_default())));
+    *request.method_mut() = call.method;
+    // The path was checked when the server's URL was; what goes behind it is made here.
+    *request.uri_mut() = format!("{}{}", server.path, call.path).parse().unwrap_or_default();
+    let headers = request.headers_mut();
+    let host = HeaderValue::from_str(&server.authority).unwrap_or(HeaderValue::from_static("registry"));
+    headers.insert(header::HOST, host);
+    headers.insert(header::ACCEPT, HeaderValue::from_static("application/json, application/xml;q=0.5"));
+    headers.insert(header::ACCEPT_ENCODING, HeaderValue::from_static("gzip"));
+    if json {
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    }
+    if let Some(value) = authorization {
+        headers.insert(header::AUTHORIZATION, value.clone());
+    }
+    request
+}
+
+async fn connect(tls: Option<&TlsConnector>, server: &Server) -> Result<Connection, CallError> {
+    let stream = Async::<TcpStream>::connect(server.address).await.map_err(CallError::Connect)?;
+    stream.get_ref().set_nodelay(true).map_err(CallError::Connect)?;
+    match tls.filter(|_| server.tls) {
+        None => handshake(stream).await,
+        Some(tls) => {
+            let name = ServerName::try_from(server.host.clone())
+                .map_err(|error| CallError::Connect(io::Error::new(io::ErrorKind::InvalidInput, error)))?;
+            handshake(tls.connect(name, stream).await.map_err(CallError::Connect)?).await
+        }
+    }
+}
+
+async fn handshake<S>(stream: S) -> Result<Connection, CallError>
+where
+    S: futures_lite::AsyncRead + futures_lite::AsyncWrite + Unpin + 'static,
+{
+    let (send, driver) =
+        http1::Builder::new().max_buf_size(64 * 1024).handshake(FuturesIo::new(stream)).await?;
+    let driver = Box::pin(async move {
+        let _ = driver.await;
+    });
+    Ok(Connection { send, driver })
+}
+
+async fn exchange(
+    send: &mut SendRequest<Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+    take: &mut dyn FnMut(Chunk<'_>) -> Result<(), String>,
+) -> Result<(), CallError> {
+    let mut response = send.send_request(request).await?;
+    let status = response.status();
+    if !status.is_success() {
+        let seconds = response.headers().get(header::RETRY_AFTER).and_then(|value| value.to_str().ok());
+        let retry_after = seconds.and_then(|text| text.trim().parse::<i64>().ok()).filter(|s| *s >= 0);
+        let retry_after = retry_after.map(|seconds| Span::millis(seconds.saturating_mul(1_000)));
+        return Err(CallError::Status { status: status.as_u16(), retry_after });
+    }
+    let text = |name| response.headers().get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+    let kind = text(header::CONTENT_TYPE).unwrap_or("").to_owned();
+    let packed = text(header::CONTENT_ENCODING).is_some_and(|of| of.eq_ignore_ascii_case("gzip"));
+    take(Chunk::Type(&kind)).map_err(|_| CallError::Type(kind.chars().take(80).collect()))?;
+    let mut sink = Sink { take, error: None };
+    if packed {
+        let mut unpacked = GzDecoder::new(&mut sink);
+        let mut done = Ok(());
+        while let Some(frame) = response.frame().await {
+            if let Ok(data) = frame?.into_data() {
+                done = unpacked.write_all(&data);
+                if done.is_err() {
+                    break;
+                }
+            }
+        }
+        let done = done.and_then(|()| unpacked.try_finish());
+        drop(unpacked);
+        sink.ended(done)
+    } else {
+        while let Some(frame) = response.frame().await {
+            if let Ok(data) = frame?.into_data() {
+                let done = sink.write_all(&data);
+                if done.is_err() {
+                    return sink.ended(done);
+                }
+            }
+        }
+        sink.ended(Ok(()))
+    }
+}
+
+/// Hands on what is written to it, and keeps why that failed.
+struct Sink<'t> {
+    take: &'t mut dyn FnMut(Chunk<'_>) -> Result<(), String>,
+    error: Option<String>,
+}
+
+impl Sink<'_> {
+    fn ended(self, done: io::Result<()>) -> Result<(), CallError> {
+        match (self.error, done) {
+            (Some(error), _) => Err(CallError::Body(error)),
+            (None, Err(error)) => Err(CallError::Body(error.to_string())),
+            (None, Ok(())) => Ok(()),
+        }
+    }
+}
+
+impl Write for Sink<'_> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        match (self.take)(Chunk::Data(bytes)) {
+            Ok(()) => Ok(bytes.len()),
+            Err(error) => {
+                self.error = Some(error);
+                Err(io::ErrorKind::InvalidData.into())
+            }
+        }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn file_error(path: &Path, what: impl ToString) -> SetupError {
+    SetupError::File { path: path.display().to_string(), what: what.to_string() }
+}
+
+/// A file that others may read holds no secret.
+fn secret(path: &Path) -> Result<(), SetupError> {
+    use std::os::unix::fs::PermissionsExt;
+    let mode = std::fs::metadata(path).map_err(|error| file_error(path, error))?.permissions().mode();
+    if mode & 0o077 != 0 {
+        let what =
+            format!("its mode is {:03o}: others than its owner may use it, so it is not used", mode & 0o777);
+        return Err(file_error(path, what));
+    }
+    Ok(())
+}
+
+fn basic(user: &str, file: &Path) -> Result<HeaderValue, SetupError> {
+    secret(file)?;
+    let password = std::fs::read_to_string(file).map_err(|error| file_error(file, error))?;
+    let pair = format!("{user}:{}", password.trim_end_matches(['\r', '\n']));
+    let text = format!("Basic {}", base64::engine::general_purpose::STANDARD.encode(pair));
+    let mut value = HeaderValue::from_str(&text).map_err(|_| file_error(file, "not fit for a header"))?;
+    value.set_sensitive(true);
+    Ok(value)
+}
+
+fn connector(access: &Access) -> Result<TlsConnector, SetupError> {
+    let mut roots = RootCertStore::empty();
+    let certificates = |path: &Path| -> Result<Vec<CertificateDer<'static>>, SetupError> {
+        let all = CertificateDer::pem_file_iter(path).and_then(|all| all.collect::<Result<Vec<_>, _>>());
+        let all = all.map_err(|error| file_error(path, error))?;
+        if all.is_empty() { Err(file_error(path, "no certificate stands in it")) } else { Ok(all) }
+    };
+    if let Some(path) = &access.ca {
+        for certificate in certificates(path)? {
+            roots.add(certificate).map_err(|error| file_error(path, error))?;
+        }
+    }
+    let config = ClientConfig::builder().with_root_certificates(roots);
+    let config = match &access.identity {
+        None => config.with_no_client_auth(),
+        Some((certificate, key)) => {
+            secret(key)?;
+            let own = certificates(certificate)?;
+            let key = PrivateKeyDer::from_pem_file(key).map_err(|error| file_error(key, error))?;
+            config.with_client_auth_cert(own, key)?
+        }
+    };
+    Ok(TlsConnector::from(Arc::new(config)))
+}
--- /dev/null
+++ b/crates/registry/src/eureka/mapping.rs
@@ -0,0 +1,151 @@
+//! From an instance to a claim on a member, as the operator's file says: which applications are meant, where boxes may
+//! lie, which metadata hold group, zone, role and start. No I/O.
+
+use super::model::{ActionType, Instance, Status};
+use ipnet::{IpNet, Ipv4Net, Ipv6Net};
+use linnetdeal_core::membership::{Claim, Evidence};
+use linnetdeal_core::{GroupId, ListState, MemberId, Time};
+use prefix_trie::PrefixMap;
+use std::collections::BTreeSet;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+
+/// The networks in which boxes may lie, each with the zone of what lies in it where that is known.
+#[derive(Clone, Debug, Default)]
+pub struct Networks {
+    v4: PrefixMap<Ipv4Net, Option<Arc<str>>>,
+    v6: PrefixMap<Ipv6Net, Option<Arc<str>>>,
+}
+
+impl Networks {
+    /// Adds a network; false if it is there already.
+    pub fn add(&mut self, network: IpNet, zone: Option<Arc<str>>) -> bool {
+        match network {
+            IpNet::V4(net) => self.v4.insert(net.trunc(), zone).is_none(),
+            IpNet::V6(net) => self.v6.insert(net.trunc(), zone).is_none(),
+        }
+    }
+
+    /// The smallest network that an address lies in, by its zone; `None` outside of all.
+    #[must_use]
+    pub fn zone(&self, address: IpAddr) -> Option<Option<Arc<str>>> {
+        match address.to_canonical() {
+            IpAddr::V4(address) => self.v4.get_lpm(&address.into()).map(|(_, zone)| zone.clone()),
+            IpAddr::V6(address) => self.v6.get_lpm(&address.into()).map(|(_, zone)| zone.clone()),
+        }
+    }
+}
+
+/// What is done once somebody takes back a status that was set over an instance's own. Such a change leaves the
+/// instance's own stamp as it was.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Lifts {
+    /// Nothing: who was told to drain is back only with a later stamp of its own.
+    #[default]
+    Registration,
+    /// It counts if the same server of the registry says so of the same lease, and later.
+    Override,
+}
+
+/// How instances become members.
+#[derive(Clone, Debug, Default)]
+pub struct Mapping {
+    /// The applications whose instances are boxes, in upper case.
+    pub apps: BTreeSet<String>,
+    /// Where boxes may lie.
+    pub networks: Networks,
+    /// The metadata key of the group; the group is a whole number.
+    pub group_key: String,
+    /// The group of who names none; `None` refuses it.
+    pub group: Option<i64>,
+    /// The metadata key of the zone.
+    pub zone_key: String,
+    /// The metadata key of the role.
+    pub role_key: String,
+    /// What stands there for a primary.
+    pub primary: String,
+    /// The metadata key of the last start, in ms since 1970.
+    pub started_key: String,
+    /// Whether members are reached on the secure port.
+    pub secure_port: bool,
+    /// What lifts a drain.
+    pub lifts: Lifts,
+}
+
+/// Why an instance is no member.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refused {
+    /// It belongs to another application.
+    #[error("of another application")]
+    NotOurs,
+    /// Its address is no IP address with a port.
+    #[error("no address: '{0}'")]
+    Address(String),
+    /// It lies outside of all networks that are allowed.
+    #[error("{0} lies outside of the networks in which boxes may lie")]
+    Outside(IpAddr),
+    /// It names no group, or one that is no number.
+    #[error("no group: '{0}'")]
+    Group(String),
+}
+
+impl Mapping {
+    /// The claim that an instance makes, as told by the registry's server of this number.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be a member. One that has left is named whatever else it says.
+    pub fn claim(&self, instance: &Instance, server: usize) -> Result<Claim, Refused> {
+        if !self.apps.contains(&instance.app.to_ascii_uppercase()) {
+            return Err(Refused::NotOurs);
+        }
+        let meta = |key: &str| instance.metadata.get(key).map(String::as_str).filter(|text| !text.is_empty());
+        let state = match (instance.action, instance.status) {
+            (ActionType::Deleted, _) => ListState::Gone,
+            (_, Status::Up) => ListState::Healthy,
+            _ => ListState::Draining,
+        };
+        let place = self.place(instance);
+        let group = match meta(&self.group_key) {
+            Some(text) => text.parse().map(Some).map_err(|_| Refused::Group(text.chars().take(64).collect())),
+            None => self.group.map(Some).ok_or_else(|| Refused::Group(String::new())),
+        };
+        // Who drains or is gone is taken at its word, though the rest of what it says can't be used.
+        let (place, group) = match state {
+            ListState::Healthy => (Some(place?), group?),
+            _ => (place.ok(), group.ok().flatten()),
+        };
+        let zone = meta(&self.zone_key).map(str::to_owned);
+        let zone = zone.or_else(|| place.as_ref().and_then(|(_, zone)| zone.as_deref().map(str::to_owned)));
+        let started = meta(&self.started_key).and_then(|text| text.parse::<i64>().ok()).filter(|ms| *ms > 0);
+        let started = started.map(|ms| Time(ms.saturating_mul(1_000)));
+        // A registration that is not ready yet comes before the same registration in service.
+        let ready =
+            !matches!(instance.status, Status::Starting | Status::Unknown) || state == ListState::Gone;
+        let stamp = instance.dirty_ms.saturating_mul(2).saturating_add(i64::from(ready));
+        let memory = (self.lifts == Lifts::Override).then_some((server, instance.registered_ms));
+        Ok(Claim {
+            member: MemberId(Arc::from(instance.id.as_str())),
+            address: place.map(|(address, _)| address),
+            group: group.map(GroupId),
+            zone: zone.unwrap_or_default(),
+            primary: meta(&self.role_key).is_some_and(|role| role == self.primary),
+            started,
+            state,
+            evidence: Evidence { started, stamp, memory, told: instance.updated_ms },
+        })
+    }
+
+    fn place(&self, instance: &Instance) -> Result<(SocketAddr, Option<Arc<str>>), Refused> {
+        let port = if self.secure_port { instance.secure_port } else { instance.port };
+        let address = instance.ip.parse::<IpAddr>().ok().zip(port);
+        let Some((ip, port)) = address else {
+            return Err(Refused::Address(format!(
+                "{}:{port:?}",
+                instance.ip.chars().take(64).collect::<String>()
+            )));
+        };
+        let zone = self.networks.zone(ip).ok_or(Refused::Outside(ip))?;
+        Ok((SocketAddr::new(ip.to_canonical(), port), zone))
+    }
+}
--- /dev/null
+++ b/crates/registry/src/eureka/mod.rs
@@ -0,0 +1,10 @@
+//! Eureka's REST API, the client's side, without I/O: bodies, instances, what they mean for membership, and when to
+//! ask for what.
+
+pub mod body;
+pub mod lease;
+pub mod mapping;
+pub mod mirror;
+pub mod model;
+pub mod poller;
+pub mod reading;
