--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The common tasks. CONFIG names the configuration for `make run`.
 CONFIG ?= config.json
 
-.PHONY: build test lint run ci
+.PHONY: build test lint run ci lab proof-eureka bench-eureka demo
 
 build:
 	cargo build --locked --release
@@ -19,3 +19,19 @@
 
 ci:
 	bash .ci/run
+
+# The lab: stand-ins, scripts and proofs. None of it is part of CI.
+lab:
+	cargo build --locked --release -p linnetdeal -p linnetdeal-lab
+
+# Plays all scripts of a registry that lags, lies and vanishes; the last line is one JSON object.
+proof-eureka: lab
+	target/release/linnetdeal-lab eureka
+
+# Time and memory of a whole list and of a delta, at 200, 2,000 and 20,000 instances.
+bench-eureka: lab
+	target/release/linnetdeal-lab eureka-bench
+
+# A registry, boxes, a pooler and a client on loopback, to look at. Ends on Ctrl-C or after DEMO_S seconds.
+demo: lab
+	target/release/linnetdeal-lab demo --seconds $(or $(DEMO_S),0)
--- /dev/null
+++ b/crates/lab/src/boxes.rs
@@ -0,0 +1,226 @@
+//! Boxes that speak as much of PostgreSQL as a pooler needs, with a role, a log position and a lag.
+
+use crate::ledger::Ledger;
+use crate::lock;
+use linnetdeal_net::pg::{self, write};
+use std::io::{Read, Write};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// The log of a group: the primary writes, replicas have it a little later.
+#[derive(Debug, Default)]
+pub struct Log {
+    last: AtomicI64,
+}
+
+impl Log {
+    fn now() -> i64 {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        i64::try_from(now.as_millis()).unwrap_or(i64::MAX)
+    }
+
+    /// A commit's position: the time, and later than all before.
+    fn commit(&self) -> i64 {
+        let now = Self::now();
+        let before = self.last.fetch_max(now, Ordering::SeqCst);
+        if before >= now { self.last.fetch_add(1, Ordering::SeqCst) + 1 } else { now }
+    }
+}
+
+/// A box.
+#[derive(Clone)]
+pub struct StandIn {
+    /// Its id.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    primary: Arc<AtomicBool>,
+    lag_ms: Arc<AtomicI64>,
+    reached: Arc<AtomicI64>,
+    down: Arc<AtomicBool>,
+}
+
+impl StandIn {
+    /// One that listens on a free port of `ip` and answers after `work`.
+    ///
+    /// # Errors
+    ///
+    /// When it can't listen there.
+    pub fn start(
+        name: &str,
+        ip: IpAddr,
+        primary: bool,
+        work: Duration,
+        log: Arc<Log>,
+        ledger: Arc<Mutex<Ledger>>,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind((ip, 0))?;
+        let one = Self {
+            name: name.to_owned(),
+            address: listener.local_addr()?,
+            primary: Arc::new(AtomicBool::new(primary)),
+            lag_ms: Arc::new(AtomicI64::new(10)),
+            down: Arc::default(),
+            reached: Arc::default(),
+        };
+        let door = one.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let Ok(stream) = stream else { return };
+                if door.down.load(Ordering::SeqCst) {
+                    continue;
+                }
+                let (one, log, ledger) = (door.clone(), log.clone(), ledger.clone());
+                std::thread::spawn(move || one.serve(stream, work, &log, &ledger));
+            }
+        });
+        Ok(one)
+    }
+
+    /// From now on it is this.
+    pub fn set_primary(&self, primary: bool) {
+        self.primary.store(primary, Ordering::SeqCst);
+    }
+
+    /// How far it is behind, in ms.
+    pub fn set_lag(&self, ms: i64) {
+        self.lag_ms.store(ms, Ordering::SeqCst);
+    }
+
+    /// Whether it closes whoever comes.
+    pub fn set_down(&self, down: bool) {
+        self.down.store(down, Ordering::SeqCst);
+    }
+
+    fn position(&self) -> i64 {
+        let lag = if self.primary.load(Ordering::SeqCst) { 0 } else { self.lag_ms.load(Ordering::SeqCst) };
+        let reached = Log::now() - lag;
+        // A position never goes back: who falls behind stands still first.
+        reached.max(self.reached.fetch_max(reached, Ordering::SeqCst))
+    }
+
+    fn serve(&self, mut stream: TcpStream, work: Duration, log: &Log, ledger: &Mutex<Ledger>) {
+        let _ = stream.set_nodelay(true);
+        let mut read = Vec::new();
+        let mut bytes = vec![0; 16 * 1024];
+        let mut greeted = false;
+        let mut first = None;
+        loop {
+            let mut out = Vec::new();
+            if !greeted {
+                if let Ok(Some((_, size))) = pg::startup(&read) {
+                    read.drain(..size);
+                    write::welcome(&mut out, 1, 1);
+                    greeted = true;
+                }
+            } else if let Ok(Some(message)) = pg::message(&read) {
+                let (tag, size) = (message.tag, message.size);
+                let statement = pg::query_text(message.body).unwrap_or("").to_owned();
+                read.drain(..size);
+                if tag != b'Q' {
+                    return;
+                }
+                self.statement(
+                    &statement,
+                    first.take().unwrap_or_else(Instant::now),
+                    work,
+                    log,
+                    ledger,
+                    &mut out,
+                );
+                first = (!read.is_empty()).then(Instant::now);
+            }
+            if !out.is_empty() {
+                if self.down.load(Ordering::SeqCst) || stream.write_all(&out).is_err() {
+                    return;
+                }
+                continue;
+            }
+            match stream.read(&mut bytes) {
+                Ok(count @ 1..) => {
+                    first.get_or_insert_with(Instant::now);
+                    read.extend_from_slice(&bytes[..count]);
+                }
+                _ => return,
+            }
+        }
+    }
+
+    fn statement(
+        &self,
+        statement: &str,
+        first: Instant,
+        work: Duration,
+        log: &Log,
+        ledger: &Mutex<Ledger>,
+        out: &mut Vec<u8>,
+    ) {
+        let primary = self.primary.load(Ordering::SeqCst);
+        if statement.is_empty() {
+            write::empty_query(out);
+            write::ready(out);
+            return;
+        }
+        if statement.starts_with("SHOW") {
+            let (seconds, role) = (self.position() as f64 / 1_000.0, u8::from(primary));
+            self.row(out, format!("x0={seconds:.3},x1={role}").as_bytes(), self.position());
+            return;
+        }
+        lock(ledger).sent(&self.name, first);
+        let id = field(statement, "id").unwrap_or("");
+        if statement.starts_with("INSERT") {
+            if !primary {
+                write::error(out, write::Severity::Error, "25006", "read only", None);
+                self.notes(out, self.position());
+                write::ready(out);
+                return;
+            }
+            std::thread::sleep(work);
+            lock(ledger).ran(id);
+            let commit = log.commit();
+            self.row(out, format!("{id} {commit}").as_bytes(), commit);
+            return;
+        }
+        // What a read sees is what the box has when the read begins.
+        let position = self.position();
+        std::thread::sleep(work);
+        self.row(out, format!("{id} {position}").as_bytes(), position);
+    }
+
+    fn notes(&self, out: &mut Vec<u8>, position: i64) {
+        let part = if self.primary.load(Ordering::SeqCst) { "master" } else { "replica" };
+        for (name, value) in [("part", part), ("caught_up_to", &position.to_string())] {
+            message(out, b'S', format!("{name}\0{value}\0").as_bytes());
+        }
+    }
+
+    fn row(&self, out: &mut Vec<u8>, value: &[u8], position: i64) {
+        message(out, b'T', b"\0\x01content\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01");
+        let mut row = vec![0, 1];
+        row.extend_from_slice(&u32::try_from(value.len()).unwrap_or(0).to_be_bytes());
+        row.extend_from_slice(value);
+        message(out, b'D', &row);
+        write::complete(out, "SELECT 1");
+        self.notes(out, position);
+        write::ready(out);
+    }
+}
+
+/// A value of a statement's comment.
+#[must_use]
+pub fn field<'s>(statement: &'s str, name: &str) -> Option<&'s str> {
+    let comment = statement.rsplit_once("/*")?.1.split("*/").next()?.trim();
+    comment
+        .split(',')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value)
+}
+
+fn message(out: &mut Vec<u8>, tag: u8, body: &[u8]) {
+    out.push(tag);
+    out.extend_from_slice(&u32::try_from(body.len() + 4).unwrap_or(0).to_be_bytes());
+    out.extend_from_slice(body);
+}
--- /dev/null
+++ b/crates/lab/src/eureka.rs
@@ -0,0 +1,672 @@
+//! A stand-in for Eureka's servers: peers over one world of registrations, each with its own lag and its own way to
+//! fail. It does the server's side of the published REST API, and notes in the ledger what each body told.
+
+use crate::ledger::Ledger;
+use crate::lock;
+use flate2::Compression;
+use flate2::write::GzEncoder;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// States are kept for peers that are behind, no more than these.
+const MOST_STATES: usize = 4_096;
+/// How long a delta names a change, unless told otherwise.
+const RECENT: Duration = Duration::from_millis(3_000);
+
+/// A registration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Registered {
+    /// Its application.
+    pub app: String,
+    /// Its id.
+    pub id: String,
+    /// Where it listens.
+    pub ip: String,
+    /// And on which port.
+    pub port: u16,
+    /// The status that counts.
+    pub status: String,
+    /// The status set over its own.
+    pub overridden: String,
+    /// When it last changed itself, in ms.
+    pub dirty: i64,
+    /// When the registry last changed it, in ms.
+    pub updated: i64,
+    /// When its lease began, in ms.
+    pub registered: i64,
+    /// What a delta says.
+    pub action: String,
+    /// What its operators say.
+    pub metadata: BTreeMap<String, String>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct State {
+    all: BTreeMap<(String, String), Registered>,
+    recent: VecDeque<(Option<Instant>, Registered)>,
+    /// Boxes that have truly left, with their last stamp.
+    removed: BTreeMap<String, i64>,
+}
+
+/// How things were, each from when on.
+type States = VecDeque<(Instant, Arc<State>)>;
+
+/// All registrations, and how they were before.
+#[derive(Clone)]
+pub struct World {
+    states: Arc<Mutex<States>>,
+    recent: Duration,
+    clock: Arc<Mutex<i64>>,
+}
+
+impl Default for World {
+    fn default() -> Self {
+        let states = VecDeque::from([(Instant::now(), Arc::new(State::default()))]);
+        Self {
+            states: Arc::new(Mutex::new(states)),
+            recent: RECENT,
+            clock: Arc::new(Mutex::new(crate::clients::now_ms())),
+        }
+    }
+}
+
+impl World {
+    /// Has deltas name a change for so long only.
+    #[must_use]
+    pub fn remembering(mut self, recent: Duration) -> Self {
+        self.recent = recent;
+        self
+    }
+
+    /// A stamp, later than all before.
+    #[must_use]
+    pub fn stamp(&self) -> i64 {
+        let mut clock = lock(&self.clock);
+        *clock = crate::clients::now_ms().max(*clock + 1);
+        *clock
+    }
+
+    fn change(&self, change: impl FnOnce(&mut State)) {
+        let mut states = lock(&self.states);
+        let mut state = states.back().map_or_else(State::default, |(_, state)| State::clone(state));
+        change(&mut state);
+        let now = Instant::now();
+        state.recent.retain(|(at, _)| at.is_none_or(|at| now - at < self.recent));
+        states.push_back((now, Arc::new(state)));
+        if states.len() > MOST_STATES {
+            states.pop_front();
+        }
+    }
+
+    fn state(&self, lag: Duration) -> Arc<State> {
+        let states = lock(&self.states);
+        let then = Instant::now().checked_sub(lag);
+        let known = states.iter().rev().find(|(at, _)| then.is_some_and(|then| *at <= then));
+        known.or(states.front()).map_or_else(Arc::default, |(_, state)| state.clone())
+    }
+
+    /// Registers, or registers anew.
+    pub fn register(&self, mut one: Registered) {
+        one.updated = self.stamp();
+        one.registered = one.updated;
+        self.change(|state| {
+            one.action = "ADDED".into();
+            state.removed.remove(&one.id);
+            state.recent.push_back((Some(Instant::now()), one.clone()));
+            state.all.insert((one.app.clone(), one.id.clone()), one);
+        });
+    }
+
+    /// Registers many at once, with nothing in the deltas.
+    pub fn fill(&self, all: impl IntoIterator<Item = Registered>) {
+        self.change(|state| {
+            state.all.extend(all.into_iter().map(|one| ((one.app.clone(), one.id.clone()), one)));
+        });
+    }
+
+    /// What is registered under this id.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<Registered> {
+        self.state(Duration::ZERO).all.values().find(|one| one.id == id).cloned()
+    }
+
+    /// Changes the states of many at once, by their own word.
+    pub fn turn(&self, ids: &[String], status: &str) {
+        let (stamp, now) = (self.stamp(), Instant::now());
+        self.change(|state| {
+            for id in ids {
+                if let Some(one) = state.all.get_mut(&("DB".to_owned(), id.clone())) {
+                    one.status = status.to_owned();
+                    (one.dirty, one.updated) = (stamp, stamp);
+                    one.action = "MODIFIED".into();
+                    state.recent.push_back((Some(now), one.clone()));
+                }
+            }
+        });
+    }
+
+    /// Changes a registration; with `anew` the instance did so itself, with a later stamp.
+    pub fn alter(&self, id: &str, anew: bool, change: impl FnOnce(&mut Registered)) {
+        let (stamp, updated) = (self.stamp(), self.stamp());
+        self.change(|state| {
+            if let Some(one) = state.all.values_mut().find(|one| one.id == id) {
+                change(one);
+                one.updated = updated;
+                one.action = "MODIFIED".into();
+                if anew {
+                    one.dirty = stamp;
+                }
+                let one = one.clone();
+                state.recent.push_back((Some(Instant::now()), one));
+            }
+        });
+    }
+
+    /// Takes a registration away.
+    pub fn cancel(&self, id: &str) -> bool {
+        let mut found = false;
+        self.change(|state| {
+            let key = state.all.iter().find(|(_, one)| one.id == id).map(|(key, _)| key.clone());
+            if let Some(mut one) = key.and_then(|key| state.all.remove(&key)) {
+                one.action = "DELETED".into();
+                state.removed.insert(one.id.clone(), one.dirty);
+                state.recent.push_back((Some(Instant::now()), one));
+                found = true;
+            }
+        });
+        found
+    }
+
+    /// Loses all memory, as a registry that restarts does.
+    pub fn forget(&self) {
+        self.change(|state| {
+            state.all.clear();
+            state.recent.clear();
+        });
+    }
+
+    /// All ids.
+    #[must_use]
+    pub fn ids(&self) -> Vec<String> {
+        self.state(Duration::ZERO).all.values().map(|one| one.id.clone()).collect()
+    }
+}
+
+/// How a peer answers reads.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Manner {
+    /// As it should.
+    #[default]
+    Well,
+    /// It closes whoever comes.
+    Refuse,
+    /// It says nothing.
+    Silent,
+    /// It answers with this status, and a time to come back in seconds.
+    Status(u16, Option<u32>),
+    /// It ends in the middle of a body.
+    Half,
+    /// So many MB of noise.
+    Noise(usize),
+    /// JSON nested so deep.
+    Deep(usize),
+    /// A list of nothing.
+    Empty,
+    /// A list of the first few only.
+    Few(usize),
+    /// A hash code that is wrong.
+    WrongHash,
+    /// Deltas that lack what has changed.
+    LostDelta,
+    /// Deltas with the latest change first, each of them twice.
+    Tangled,
+}
+
+/// What a peer has been asked.
+#[derive(Clone, Debug, Default)]
+pub struct Heard {
+    /// Whole lists.
+    pub fulls: u64,
+    /// Deltas.
+    pub deltas: u64,
+    /// What poolers have told of themselves, such as `POST POOLER UP`.
+    pub own: Vec<String>,
+    /// Connections.
+    pub connections: u64,
+}
+
+#[derive(Clone, Debug)]
+struct How {
+    manner: Manner,
+    lag: Duration,
+    xml: bool,
+    gzip: bool,
+    /// One instance is written as an object, not as a list of one.
+    single: bool,
+    authorization: Option<String>,
+}
+
+/// A server of the registry.
+#[derive(Clone)]
+pub struct Peer {
+    /// Where it listens.
+    pub address: SocketAddr,
+    how: Arc<Mutex<How>>,
+    heard: Arc<Mutex<Heard>>,
+}
+
+impl Peer {
+    /// Starts one over a world.
+    ///
+    /// # Errors
+    ///
+    /// When it can't listen.
+    pub fn start(world: &World, ledger: &Arc<Mutex<Ledger>>, listen: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(listen)?;
+        let how = How {
+            manner: Manner::Well,
+            lag: Duration::ZERO,
+            xml: false,
+            gzip: true,
+            single: true,
+            authorization: None,
+        };
+        let address = listener.local_addr()?;
+        let one = Self { address, how: Arc::new(Mutex::new(how)), heard: Arc::default() };
+        let (door, world, ledger) = (one.clone(), world.clone(), ledger.clone());
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                lock(&door.heard).connections += 1;
+                if lock(&door.how).manner == Manner::Refuse {
+                    continue;
+                }
+                let (peer, world, ledger) = (door.clone(), world.clone(), ledger.clone());
+                std::thread::spawn(move || {
+                    let _ = peer.serve(&stream, &world, &ledger);
+                });
+            }
+        });
+        Ok(one)
+    }
+
+    /// How it answers from now on.
+    pub fn behave(&self, manner: Manner) {
+        lock(&self.how).manner = manner;
+    }
+
+    /// How old what it knows is.
+    pub fn set_lag(&self, lag: Duration) {
+        lock(&self.how).lag = lag;
+    }
+
+    /// How it writes: XML or JSON, packed or not.
+    pub fn write_as(&self, xml: bool, gzip: bool) {
+        let mut how = lock(&self.how);
+        (how.xml, how.gzip) = (xml, gzip);
+    }
+
+    /// The header `Authorization` that it asks for.
+    pub fn ask_for(&self, authorization: &str) {
+        lock(&self.how).authorization = Some(authorization.to_owned());
+    }
+
+    /// What it has been asked so far.
+    #[must_use]
+    pub fn heard(&self) -> Heard {
+        lock(&self.heard).clone()
+    }
+
+    fn serve(&self, stream: &TcpStream, world: &World, ledger: &Mutex<Ledger>) -> std::io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut lines = BufReader::new(stream.try_clone()?);
+        loop {
+            let Some(request) = read_request(&mut lines)? else { return Ok(()) };
+            let how = lock(&self.how).clone();
+            if how.authorization.is_some() && how.authorization != request.authorization {
+                respond(stream, 401, "", "text/plain", b"", false)?;
+                continue;
+            }
+            let parts: Vec<&str> = request.path.trim_matches('/').split('/').collect();
+            let parts = if parts.first() == Some(&"eureka") { &parts[1..] } else { &parts[..] };
+            match (request.method.as_str(), parts) {
+                ("GET", ["apps", "delta"]) => {
+                    lock(&self.heard).deltas += 1;
+                    self.list(stream, &how, world, ledger, &request, true, &|_| true)?;
+                }
+                ("GET", ["apps"]) => {
+                    lock(&self.heard).fulls += 1;
+                    self.list(stream, &how, world, ledger, &request, false, &|_| true)?;
+                }
+                ("GET", ["apps", app]) => {
+                    lock(&self.heard).fulls += 1;
+                    let app = app.to_ascii_uppercase();
+                    self.list(stream, &how, world, ledger, &request, false, &|one| one.app == app)?;
+                }
+                ("GET", ["vips", vip]) => {
+                    lock(&self.heard).fulls += 1;
+                    let app = vip.to_ascii_uppercase();
+                    self.list(stream, &how, world, ledger, &request, false, &|one| one.app == app)?;
+                }
+                ("GET", ["instances", id] | ["apps", _, id]) => match world.get(id) {
+                    Some(one) => {
+                        let body = json!({"instance": instance(&one)}).to_string();
+                        respond(stream, 200, "", "application/json", body.as_bytes(), false)?;
+                    }
+                    None => respond(stream, 404, "", "text/plain", b"", false)?,
+                },
+                _ => self.write(stream, &how, world, &request, parts)?,
+            }
+        }
+    }
+
+    /// What changes the world, leases included.
+    fn write(
+        &self,
+        stream: &TcpStream,
+        how: &How,
+        world: &World,
+        request: &Request,
+        parts: &[&str],
+    ) -> std::io::Result<()> {
+        match &how.manner {
+            Manner::Silent => {
+                std::thread::sleep(Duration::from_secs(60));
+                return Err(std::io::ErrorKind::TimedOut.into());
+            }
+            Manner::Refuse => return Err(std::io::ErrorKind::ConnectionAborted.into()),
+            Manner::Status(code, after) => {
+                return respond(stream, *code, &retry(*after), "text/plain", b"", false);
+            }
+            _ => {}
+        }
+        let asked = |name: &str| {
+            let pairs = request.query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.filter(|(key, _)| *key == name).map(|(_, value)| value.to_owned()).next()
+        };
+        let mut note = None;
+        let status = match (request.method.as_str(), parts) {
+            ("POST", ["apps", app]) => match serde_json::from_slice::<Value>(&request.body) {
+                Ok(body) => {
+                    let one = registered(&body["instance"], app);
+                    note = Some(format!("POST {app} {}", one.status));
+                    world.register(one);
+                    204
+                }
+                Err(_) => 400,
+            },
+            ("PUT", ["apps", app, id]) => {
+                note = Some(format!("PUT {app} {}", asked("status").unwrap_or_default()));
+                if world.get(id).is_some() { 200 } else { 404 }
+            }
+            ("PUT", ["apps", _, id, "status"]) => {
+                let value = asked("value").unwrap_or_default();
+                world.alter(id, false, |one| {
+                    one.status.clone_from(&value);
+                    one.overridden = value;
+                });
+                200
+            }
+            ("DELETE", ["apps", _, id, "status"]) => {
+                world.alter(id, false, |one| {
+                    one.status = "UP".into();
+                    one.overridden = "UNKNOWN".into();
+                });
+                200
+            }
+            ("DELETE", ["apps", app, id]) => {
+                note = Some(format!("DELETE {app}"));
+                if world.cancel(id) { 200 } else { 404 }
+            }
+            _ => 405,
+        };
+        lock(&self.heard).own.extend(note);
+        respond(stream, status, "", "text/plain", b"", false)
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn list(
+        &self,
+        mut stream: &TcpStream,
+        how: &How,
+        world: &World,
+        ledger: &Mutex<Ledger>,
+        request: &Request,
+        delta: bool,
+        wanted: &dyn Fn(&Registered) -> bool,
+    ) -> std::io::Result<()> {
+        let state = world.state(how.lag);
+        let mut named: Vec<Registered> = if delta {
+            state.recent.iter().map(|(_, one)| one.clone()).collect()
+        } else {
+            state.all.values().cloned().map(|one| Registered { action: "ADDED".into(), ..one }).collect()
+        };
+        named.retain(|one| wanted(one));
+        let mut code = hash_code(state.all.values());
+        let mut truly = !delta && how.lag.is_zero();
+        match &how.manner {
+            Manner::Silent => {
+                std::thread::sleep(Duration::from_secs(60));
+                return Err(std::io::ErrorKind::TimedOut.into());
+            }
+            Manner::Refuse => return Err(std::io::ErrorKind::ConnectionAborted.into()),
+            Manner::Status(code, after) => {
+                return respond(stream, *code, &retry(*after), "text/plain", b"", false);
+            }
+            Manner::Noise(mb) => {
+                let noise: Vec<u8> =
+                    (0..1_048_576_u32).map(|at| (at.wrapping_mul(2_654_435_761) >> 13) as u8).collect();
+                write!(
+                    stream,
+                    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                    mb << 20
+                )?;
+                for _ in 0..*mb {
+                    stream.write_all(&noise)?;
+                }
+                return Ok(());
+            }
+            Manner::Deep(depth) => {
+                let body = format!("{{\"applications\":{}", "{\"a\":[".repeat(*depth));
+                return respond(stream, 200, "", "application/json", body.as_bytes(), false);
+            }
+            Manner::Empty => {
+                (named, code, truly) = (Vec::new(), String::new(), false);
+            }
+            Manner::Few(few) => {
+                let left: Vec<&Registered> = state.all.values().take(*few).collect();
+                named.retain(|one| left.iter().any(|other| other.id == one.id));
+                (code, truly) = (hash_code(left.into_iter()), false);
+            }
+            Manner::WrongHash => code.push_str("DOWN_99_"),
+            Manner::LostDelta if delta => named.clear(),
+            Manner::Tangled if delta => {
+                named.reverse();
+                named = named.iter().chain(&named).cloned().collect();
+            }
+            _ => {}
+        }
+        let body =
+            if how.xml { as_xml(&named, &code) } else { as_json(&named, &code, how.single).to_string() };
+        let kind = if how.xml { "application/xml" } else { "application/json" };
+        if how.manner == Manner::Half {
+            let half = &body.as_bytes()[..body.len() / 2];
+            return respond(stream, 200, "", kind, half, false);
+        }
+        respond(stream, 200, "", kind, body.as_bytes(), how.gzip && request.gzip)?;
+        // From here on the pooler has been told.
+        let (now, mut ledger) = (Instant::now(), lock(ledger));
+        for one in named.iter().filter(|one| one.app == "DB") {
+            ledger.told(
+                &one.id,
+                one.status == "UP" && one.action != "DELETED",
+                (one.dirty, one.updated),
+                now,
+            );
+        }
+        for (id, dirty) in state.removed.iter().filter(|_| truly) {
+            ledger.told(id, false, (*dirty, i64::MAX), now);
+        }
+        Ok(())
+    }
+}
+
+fn retry(after: Option<u32>) -> String {
+    after.map_or(String::new(), |seconds| format!("Retry-After: {seconds}\r\n"))
+}
+
+struct Request {
+    method: String,
+    path: String,
+    query: String,
+    gzip: bool,
+    authorization: Option<String>,
+    body: Vec<u8>,
+}
+
+fn read_request(lines: &mut BufReader<TcpStream>) -> std::io::Result<Option<Request>> {
+    let mut line = String::new();
+    if lines.read_line(&mut line)? == 0 {
+        return Ok(None);
+    }
+    let mut words = line.split_ascii_whitespace();
+    let (method, target) = (words.next().unwrap_or("").to_owned(), words.next().unwrap_or("").to_owned());
+    let (path, query) = target.split_once('?').unwrap_or((&target, ""));
+    let mut request = Request {
+        method,
+        path: path.to_owned(),
+        query: query.to_owned(),
+        gzip: false,
+        authorization: None,
+        body: Vec::new(),
+    };
+    let mut length = 0;
+    loop {
+        let mut line = String::new();
+        lines.read_line(&mut line)?;
+        let Some((name, value)) = line.trim().split_once(':') else { break };
+        match name.to_ascii_lowercase().as_str() {
+            "content-length" => length = value.trim().parse().unwrap_or(0),
+            "accept-encoding" => request.gzip = value.contains("gzip"),
+            "authorization" => request.authorization = Some(value.trim().to_owned()),
+            _ => {}
+        }
+    }
+    request.body = vec![0; length.min(1 << 20)];
+    lines.read_exact(&mut request.body)?;
+    Ok(Some(request))
+}
+
+fn respond(
+    mut stream: &TcpStream,
+    status: u16,
+    headers: &str,
+    kind: &str,
+    body: &[u8],
+    gzip: bool,
+) -> std::io::Result<()> {
+    let packed = if gzip {
+        let mut packer = GzEncoder::new(Vec::new(), Compression::fast());
+        packer.write_all(body)?;
+        packer.finish()?
+    } else {
+        body.to_vec()
+    };
+    let encoding = if gzip { "Content-Encoding: gzip\r\n" } else { "" };
+    let length = if status == 204 { String::new() } else { format!("Content-Length: {}\r\n", packed.len()) };
+    let head = format!("HTTP/1.1 {status} OK\r\nContent-Type: {kind}\r\n{length}{encoding}{headers}\r\n");
+    stream.write_all(head.as_bytes())?;
+    stream.write_all(&packed)
+}
+
+fn registered(body: &Value, app: &str) -> Registered {
+    let text = |value: &Value| value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+    Registered {
+        app: app.to_ascii_uppercase(),
+        id: text(&body["instanceId"]),
+        ip: text(&body["ipAddr"]),
+        port: body["port"]["$"].as_u64().and_then(|port| u16::try_from(port).ok()).unwrap_or(0),
+        status: text(&body["status"]),
+        overridden: "UNKNOWN".into(),
+        dirty: text(&body["lastDirtyTimestamp"]).parse().unwrap_or(0),
+        ..Registered::default()
+    }
+}
+
+fn hash_code<'r>(all: impl Iterator<Item = &'r Registered>) -> String {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for one in all {
+        *counts.entry(&one.status).or_default() += 1;
+    }
+    counts.iter().map(|(status, count)| format!("{status}_{count}_")).collect()
+}
+
+/// An instance as Jackson writes it.
+#[must_use]
+pub fn instance(one: &Registered) -> Value {
+    let mut metadata = serde_json::Map::new();
+    if one.metadata.is_empty() {
+        metadata.insert("@class".into(), "java.util.Collections$EmptyMap".into());
+    }
+    metadata.extend(one.metadata.iter().map(|(key, value)| (key.clone(), value.as_str().into())));
+    json!({
+        "instanceId": one.id, "app": one.app, "hostName": one.ip, "ipAddr": one.ip, "status": one.status,
+        "overriddenstatus": one.overridden, "vipAddress": one.app.to_ascii_lowercase(),
+        "port": {"$": one.port, "@enabled": "true"}, "securePort": {"$": 443, "@enabled": "false"}, "countryId": 1,
+        "dataCenterInfo": {"@class": "com.netflix.appinfo.InstanceInfo$DefaultDataCenterInfo", "name": "MyOwn"},
+        "leaseInfo": {"renewalIntervalInSecs": 30, "durationInSecs": 90, "registrationTimestamp": one.registered,
+                      "lastRenewalTimestamp": one.updated, "evictionTimestamp": 0, "serviceUpTimestamp": one.registered},
+        "metadata": metadata, "homePageUrl": format!("http://{}:{}/", one.ip, one.port),
+        "isCoordinatingDiscoveryServer": "false", "lastUpdatedTimestamp": one.updated.to_string(),
+        "lastDirtyTimestamp": one.dirty.to_string(), "actionType": one.action})
+}
+
+fn as_json(named: &[Registered], code: &str, single: bool) -> Value {
+    let mut apps: BTreeMap<&str, Vec<Value>> = BTreeMap::new();
+    for one in named {
+        apps.entry(&one.app).or_default().push(instance(one));
+    }
+    let only =
+        |mut list: Vec<Value>| if single && list.len() == 1 { list.remove(0) } else { Value::from(list) };
+    let apps = apps.into_iter().map(|(name, all)| json!({"name": name, "instance": only(all)}));
+    json!({"applications": {"versions__delta": "1", "apps__hashcode": code, "application": only(apps.collect())}})
+}
+
+fn as_xml(named: &[Registered], code: &str) -> String {
+    let plain = |text: &str| text.replace('&', "&amp;").replace('<', "&lt;");
+    let mut apps: BTreeMap<&str, String> = BTreeMap::new();
+    for one in named {
+        let metadata: String =
+            one.metadata.iter().map(|(key, value)| format!("<{key}>{}</{key}>", plain(value))).collect();
+        *apps.entry(&one.app).or_default() += &format!(
+            "<instance><instanceId>{}</instanceId><hostName>{ip}</hostName><app>{}</app><ipAddr>{ip}</ipAddr>\
+             <status>{}</status><overriddenstatus>{}</overriddenstatus><port enabled=\"true\">{}</port>\
+             <securePort enabled=\"false\">443</securePort><countryId>1</countryId>\
+             <dataCenterInfo class=\"com.netflix.appinfo.InstanceInfo$DefaultDataCenterInfo\"><name>MyOwn</name>\
+             </dataCenterInfo><leaseInfo><registrationTimestamp>{}</registrationTimestamp></leaseInfo>\
+             <metadata>{metadata}</metadata><lastUpdatedTimestamp>{}</lastUpdatedTimestamp>\
+             <lastDirtyTimestamp>{}</lastDirtyTimestamp><actionType>{}</actionType></instance>",
+            plain(&one.id),
+            one.app,
+            one.status,
+            one.overridden,
+            one.port,
+            one.registered,
+            one.updated,
+            one.dirty,
+            one.action,
+            ip = one.ip
+        );
+    }
+    let apps =
+        apps.iter().map(|(name, all)| format!("<application><name>{name}</name>{all}</application>\n"));
+    let apps: String = apps.collect();
+    format!(
+        "<?xml version=\"1.0\"?>\n<!-- a <comment> -->\n<applications>\n<versions__delta>1</versions__delta><apps__hashcode>{code}</apps__hashcode>\n{apps}</applications>\n"
+    )
+}
--- /dev/null
+++ b/crates/lab/src/sizes.rs
@@ -0,0 +1,122 @@
+//! What a registry of many instances costs the pooler: time and memory of a whole list and of a delta, as the system
+//! counts them for its process.
+
+use crate::eureka::{Peer, Registered, World};
+use crate::ledger::Ledger;
+use crate::play::wait;
+use crate::pooler::Pooler;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const INTERVAL: Duration = Duration::from_millis(100);
+/// Deltas that are measured with changes in them, and without.
+const DELTAS: u64 = 40;
+/// What changes between two deltas.
+const CHANGES: usize = 10;
+
+/// CPU time that a process of one thread has had.
+fn cpu(process: u32) -> io::Result<Duration> {
+    let text = std::fs::read_to_string(format!("/proc/{process}/schedstat"))?;
+    let ns = text.split_ascii_whitespace().next().and_then(|text| text.parse().ok());
+    ns.map(Duration::from_nanos).ok_or_else(|| io::Error::other("no schedstat"))
+}
+
+/// A line of a process's status, in KB.
+fn memory(process: u32, name: &str) -> io::Result<u64> {
+    let text = std::fs::read_to_string(format!("/proc/{process}/status"))?;
+    let line = text.lines().find_map(|line| line.strip_prefix(name));
+    let kb = line.and_then(|line| line.split_ascii_whitespace().nth(1)?.parse().ok());
+    kb.ok_or_else(|| io::Error::other(format!("no {name}")))
+}
+
+fn threads_and_descriptors(process: u32) -> io::Result<(usize, usize)> {
+    let count =
+        |what: &str| Ok::<_, io::Error>(std::fs::read_dir(format!("/proc/{process}/{what}"))?.count());
+    Ok((count("task")?, count("fd")?))
+}
+
+/// Measures with so many instances.
+///
+/// # Errors
+///
+/// When it can't be measured.
+pub fn measure(program: &Path, instances: usize) -> io::Result<Value> {
+    let none = json!({"generation": 0, "reset": true, "instances": []});
+    let idle = Pooler::start(program, None, &none)?;
+    std::thread::sleep(Duration::from_millis(300));
+    let (idle_kb, idle_threads) = (memory(idle.id(), "VmRSS")?, threads_and_descriptors(idle.id())?);
+    drop(idle);
+
+    let world = World::default().remembering(INTERVAL * 3 / 4);
+    let ids: Vec<String> = (0..instances).map(|at| format!("box-{at:05}")).collect();
+    world.fill(ids.iter().enumerate().map(|(at, id)| Registered {
+        app: "DB".into(),
+        id: id.clone(),
+        ip: format!("127.10.{}.{}", at / 250, at % 250 + 1),
+        port: 6_543,
+        status: "UP".into(),
+        overridden: "UNKNOWN".into(),
+        dirty: world.stamp(),
+        metadata: BTreeMap::from([
+            ("group".to_owned(), (at / 6).to_string()),
+            ("role".to_owned(), if at % 6 == 0 { "primary" } else { "replica" }.to_owned()),
+            ("zone".to_owned(), "adum".to_owned()),
+        ]),
+        ..Registered::default()
+    }));
+    let ledger: Arc<Mutex<Ledger>> = Arc::default();
+    let peer = Peer::start(&world, &ledger, SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    peer.write_as(false, false);
+    let operator = format!(
+        "registry: {{\n\tservers: [{{url: \"http://{}/eureka\"}}]\n\tapps: [\"DB\"]\n\
+         \tnetworks: [{{prefix: \"127.10.0.0/16\"}}]\n\tinterval: \"{}ms\"\n}}\n",
+        peer.address,
+        INTERVAL.as_millis()
+    );
+    let started = Instant::now();
+    let mut pooler = Pooler::start(program, Some(&operator), &none)?;
+    pooler.logged("instances read")?;
+    let (full_cpu, full_wall) = (cpu(pooler.id())?, started.elapsed());
+    let settle = || wait("deltas", || peer.heard().deltas >= 3);
+    settle()?;
+    let (peak_kb, held_kb) = (memory(pooler.id(), "VmHWM")?, memory(pooler.id(), "VmRSS")?);
+    let (threads, descriptors) = threads_and_descriptors(pooler.id())?;
+
+    // Deltas without a change, and then as many with ten each.
+    let per_delta = |changes: bool| -> io::Result<(f64, u64)> {
+        let (from, fulls) = (peer.heard().deltas, peer.heard().fulls);
+        let before = cpu(pooler.id())?;
+        let mut seen = from;
+        let mut up = true;
+        while seen < from + DELTAS {
+            if changes {
+                up = !up;
+                world.turn(&ids[..CHANGES.min(ids.len())], if up { "UP" } else { "OUT_OF_SERVICE" });
+            }
+            let next = seen + 1;
+            wait("a delta", || peer.heard().deltas >= next)?;
+            seen = peer.heard().deltas;
+        }
+        let spent = cpu(pooler.id())? - before;
+        Ok((spent.as_secs_f64() * 1_000.0 / (seen - from) as f64, peer.heard().fulls - fulls))
+    };
+    let (quiet_ms, _) = per_delta(false)?;
+    let (busy_ms, fulls) = per_delta(true)?;
+    let round = |value: f64| (value * 1_000.0).round() / 1_000.0;
+    Ok(json!({
+        "instances": instances, "idle_mb": round(idle_kb as f64 / 1_024.0),
+        "full_peak_over_idle_mb": round((peak_kb.saturating_sub(idle_kb)) as f64 / 1_024.0),
+        "held_over_idle_mb": round((held_kb.saturating_sub(idle_kb)) as f64 / 1_024.0),
+        "start_and_full_cpu_ms": round(full_cpu.as_secs_f64() * 1_000.0),
+        "start_and_full_wall_ms": round(full_wall.as_secs_f64() * 1_000.0),
+        "empty_delta_cpu_ms": round(quiet_ms), "delta_of_10_cpu_ms": round(busy_ms),
+        "ten_changes_cpu_ms": round(busy_ms - quiet_ms), "fulls_meanwhile": fulls,
+        "cpu_share_at_30_s": round(busy_ms / 30_000.0),
+        "more_threads": threads - idle_threads.0, "more_descriptors": descriptors - idle_threads.1,
+    }))
+}
--- a/crates/registry/src/eureka/mapping.rs
+++ b/crates/registry/src/eureka/mapping.rs
@@ -18,11 +18,11 @@
 }
 
 impl Networks {
-    /// Adds a network; false if it is there already.
+    /// Adds a network; false if it is there already, and then stays as it was.
     pub fn add(&mut self, network: IpNet, zone: Option<Arc<str>>) -> bool {
-        match network {
-            IpNet::V4(net) => self.v4.insert(net.trunc(), zone).is_none(),
-            IpNet::V6(net) => self.v6.insert(net.trunc(), zone).is_none(),
+        match network.trunc() {
+            IpNet::V4(net) => !self.v4.contains_key(&net) && self.v4.insert(net, zone).is_none(),
+            IpNet::V6(net) => !self.v6.contains_key(&net) && self.v6.insert(net, zone).is_none(),
         }
     }
 
@@ -145,7 +145,8 @@
                 instance.ip.chars().take(64).collect::<String>()
             )));
         };
+        let ip = ip.to_canonical();
         let zone = self.networks.zone(ip).ok_or(Refused::Outside(ip))?;
-        Ok((SocketAddr::new(ip.to_canonical(), port), zone))
+        Ok((SocketAddr::new(ip, port), zone))
     }
 }
