Members cost half the memory, and a change of ten no count of all

Cause: each member's sources stood in a map of its own, whose one node is made for eleven, and the module counted all members in service anew with each change of the list. Change: a short list by source, and a count that is kept.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -232,16 +232,15 @@
             if let Some(group) = self.groups.get_mut(&before).filter(|_| before != entry.group) {
                 group.leave(&id);
             }
-            m.becomes(entry.state);
+            self.in_service += m.becomes(entry.state);
             m.listed_primary = entry.primary;
             if let Some(at) = entry.started.filter(|_| entry.started > m.started) {
                 m.start(now, at, dice);
             }
         }
         for (_, m) in self.members.iter_mut().filter(|(id, _)| full && !named.contains(*id)) {
-            m.becomes(ListState::Gone);
+            self.in_service += m.becomes(ListState::Gone);
         }
-        self.in_service = self.members.values().filter(|m| m.state == ListState::Healthy).count() as f64;
     }
 
     /// Lets go of members that are out of service, unless something is still out at them.
@@ -880,18 +879,22 @@
 
 impl Member {
     fn new(group: GroupId, limit: f64) -> Self {
-        Self { group, limit, slow: 1.0, position: NEVER, read_at: NEVER, ..Self::default() }
+        let state = ListState::Gone;
+        Self { group, state, limit, slow: 1.0, position: NEVER, read_at: NEVER, ..Self::default() }
     }
 
     fn start(&mut self, now: Time, at: Time, credit: f64) {
         (self.started, self.limit, self.credit) = (Some(at), LEAST_LIMIT, (now, credit));
     }
 
-    /// A removal does not wipe out a drain: where only drains bind, it binds on.
-    fn becomes(&mut self, state: ListState) {
+    /// A removal does not wipe out a drain: where only drains bind, it binds on. Gives by how
+    /// much the number of members in service changes.
+    fn becomes(&mut self, state: ListState) -> f64 {
+        let served = self.state == ListState::Healthy;
         if self.state != ListState::Draining || state == ListState::Healthy {
             self.state = state;
         }
+        f64::from(u8::from(self.state == ListState::Healthy)) - f64::from(u8::from(served))
     }
 
     fn role(&self) -> usize {
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -151,7 +151,8 @@
 
 #[derive(Clone, Debug)]
 struct Record {
-    held: BTreeMap<SourceId, Held>,
+    /// In the order of the sources. There are one or two, and a map would take up ten times their size.
+    held: Vec<(SourceId, Held)>,
     known: Known,
     gone_since: Option<Time>,
 }
@@ -163,6 +164,22 @@
     doubted: Option<Time>,
 }
 
+impl Record {
+    fn of(&self, source: SourceId) -> Option<&Held> {
+        self.held.iter().find(|(of, _)| *of == source).map(|(_, held)| held)
+    }
+
+    fn set(&mut self, source: SourceId, held: Held) {
+        match self.held.binary_search_by_key(&source, |(of, _)| *of) {
+            Ok(at) => self.held[at].1 = held,
+            Err(at) => {
+                self.held.reserve_exact(1);
+                self.held.insert(at, (source, held));
+            }
+        }
+    }
+}
+
 /// The members by what all sources say.
 #[derive(Debug)]
 pub struct Membership {
@@ -243,7 +260,7 @@
     ) -> (Vec<MemberId>, usize, usize) {
         let (mut missing, mut lost, mut in_service) = (Vec::new(), 0, 0);
         for (id, record) in &self.members {
-            let Some(held) = record.held.get(&source) else { continue };
+            let Some(held) = record.of(source) else { continue };
             if held.claim.state == ListState::Gone {
                 continue;
             }
@@ -277,7 +294,7 @@
     }
 
     fn claim(&mut self, now: Time, source: SourceId, mut claim: Claim, view: Option<i64>, taken: &mut Taken) {
-        let held = self.members.get(&claim.member).and_then(|record| record.held.get(&source));
+        let held = self.members.get(&claim.member).and_then(|record| record.of(source));
         if let Some(held) = held {
             let moved = claim.address.zip(held.claim.address).is_some_and(|(new, old)| new != old);
             let worse = rank(claim.state) > rank(held.claim.state);
@@ -310,7 +327,7 @@
     }
 
     fn absent(&mut self, now: Time, source: SourceId, member: MemberId, view: i64, taken: &mut Taken) {
-        let held = self.members.get(&member).and_then(|record| record.held.get(&source));
+        let held = self.members.get(&member).and_then(|record| record.of(source));
         if let Some(mut held) = held.cloned() {
             held.claim.state = ListState::Gone;
             (held.absent, held.since) = (Some(view), now);
@@ -322,12 +339,9 @@
     fn hold(&mut self, now: Time, source: SourceId, member: MemberId, held: Held, taken: &mut Taken) {
         let entry = self.members.entry(member.clone());
         let new = matches!(entry, std::collections::btree_map::Entry::Vacant(_));
-        let record = entry.or_insert_with(|| Record {
-            held: BTreeMap::new(),
-            known: Known::default(),
-            gone_since: None,
-        });
-        record.held.insert(source, held);
+        let record =
+            entry.or_insert_with(|| Record { held: Vec::new(), known: Known::default(), gone_since: None });
+        record.set(source, held);
         let known = combine(&record.held);
         match (record.gone_since, known.state == ListState::Gone) {
             (None, true) => {
@@ -362,28 +376,22 @@
 
 /// What all sources say of a member, taken together. The worst of them counts, unless another source shows a start
 /// after it: who started anew is not who drained. What only one tells comes from the first source that tells it.
-fn combine(held: &BTreeMap<SourceId, Held>) -> Known {
+fn combine(held: &[(SourceId, Held)]) -> Known {
+    let all = || held.iter().map(|(_, held)| held);
     let shown = |than: &Held| {
         let after = than.claim.started.unwrap_or(than.since);
-        held.values().any(|one| one.claim.state == ListState::Healthy && one.claim.started > Some(after))
+        all().any(|one| one.claim.state == ListState::Healthy && one.claim.started > Some(after))
     };
-    let counted = || held.values().filter(|one| one.claim.state == ListState::Healthy || !shown(one));
+    let counted = || all().filter(|one| one.claim.state == ListState::Healthy || !shown(one));
     let state =
         counted().map(|one| one.claim.state).max_by_key(|state| rank(*state)).unwrap_or(ListState::Gone);
     Known {
-        address: counted()
-            .find_map(|one| one.claim.address)
-            .or(held.values().find_map(|one| one.claim.address)),
+        address: counted().find_map(|one| one.claim.address).or(all().find_map(|one| one.claim.address)),
         state,
-        group: held.values().find_map(|one| one.claim.group).unwrap_or_default(),
-        zone: held
-            .values()
-            .map(|one| &one.claim.zone)
-            .find(|zone| !zone.is_empty())
-            .cloned()
-            .unwrap_or_default(),
+        group: all().find_map(|one| one.claim.group).unwrap_or_default(),
+        zone: all().map(|one| &one.claim.zone).find(|zone| !zone.is_empty()).cloned().unwrap_or_default(),
         primary: counted().any(|one| one.claim.primary),
-        started: held.values().filter_map(|one| one.claim.started).max(),
+        started: all().filter_map(|one| one.claim.started).max(),
     }
 }
 
