A change of the list no longer walks over all members

Cause: the loop that marks those whom a whole list does not name ran over all members for a change, too.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -238,7 +238,8 @@
                 m.start(now, at, dice);
             }
         }
-        for (_, m) in self.members.iter_mut().filter(|(id, _)| full && !named.contains(*id)) {
+        let most = if full { usize::MAX } else { 0 };
+        for (_, m) in self.members.iter_mut().filter(|(id, _)| !named.contains(*id)).take(most) {
             self.in_service += m.becomes(ListState::Gone);
         }
     }
