Attempts that got lost are told apart from those at work; a silent primary is tried

Ruled out: a late walk, a drain without a hand-over, refusals of what could still be served. Change: an attempt that is far overdue while later sends were answered is lost and takes up no room; a marked primary with nothing else out is tried by one fresh read at a time.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -335,7 +335,7 @@
         let need = self.need(now, open);
         let fresh_only = self.settings.classes[open.class].need == Need::Fresh;
         let gid = open.group;
-        let primary = self.shown(now, gid);
+        let primary = self.shown(now, gid).or(self.on_trial(now, gid).filter(|_| fresh_only));
         let group = self.groups.get(&gid)?;
         let replicas = group.members.iter().map(|id| (id, &self.members[id]));
         let replicas = replicas.filter(|(id, m)| self.sendable(m) && Some(*id) != primary);
@@ -363,7 +363,7 @@
         let over = self.crowding(now, gid, REPLICA) - self.crowding(now, gid, PRIMARY) - SPILL_OVER;
         let spills = primary.is_some() && !pool.is_empty() && chance < over;
         let pick = if pool.is_empty() || spills {
-            let spare = |m: &Member| fresh_only || spills || m.in_work(now) + 1.0 <= m.limit * share;
+            let spare = |m: &Member| fresh_only || spills || self.in_work(m, now) + 1.0 <= m.limit * share;
             primary.filter(|id| spare(&self.members[*id]) && self.room(&self.members[*id], now)).cloned()
         } else {
             let loads: Vec<f64> = pool.iter().map(|(_, m)| self.load(m, now)).collect();
@@ -592,13 +592,22 @@
         self.groups.entry(gid).and_modify(|group| group.lost &= !found);
     }
 
-    /// The marked member, if it was last shown as primary and is not silent.
+    /// The marked member, if it was last shown as primary and is not suspect.
     fn shown(&self, now: Time, gid: GroupId) -> Option<&MemberId> {
         let mark = self.groups.get(&gid)?.mark.as_ref()?;
         let m = &self.members[mark];
         (m.role() == PRIMARY && self.sendable(m) && !self.suspect(m, now)).then_some(mark)
     }
 
+    /// A marked primary that fell silent, with nothing else out there. One fresh read at a time tries it: if only
+    /// some connections are silent, nothing else would show it before they end.
+    fn on_trial(&self, now: Time, gid: GroupId) -> Option<&MemberId> {
+        let mark = self.groups.get(&gid)?.mark.as_ref()?;
+        let m = &self.members[mark];
+        let free = now >= m.ejected && self.live(m, now) < 1.0;
+        (m.role() == PRIMARY && self.sendable(m) && free).then_some(mark)
+    }
+
     fn need(&self, now: Time, open: &Open) -> Option<Time> {
         match self.settings.classes[open.class].need {
             Need::Any | Need::Write => None,
@@ -619,14 +628,17 @@
     // ---- The valid member: silence, failures, slowness, refusals and cold all make it less so
 
     fn judge(&mut self, now: Time, id: &MemberId, verdict: Verdict, took: Span, out: Option<&Out>) {
-        let Some(m) = self.members.get_mut(id) else { return };
+        let Some(m) = self.members.get(id) else { return };
         let (gid, role) = (m.group, m.role());
         self.stirred.insert(gid);
         // What went overdue or grew old while this router itself stood still tells nothing of the member.
         if self.stalled == now && matches!(verdict, Verdict::Timeout | Verdict::Reset) {
             return;
         }
+        // One that got lost beside others that were answered says nothing of how the member does.
+        let lost = out.is_some_and(|out| out.sent < m.reached && self.lost(m, out, now));
         let dice = self.chance();
+        let work = self.members.get(id).map_or(0.0, |m| self.in_work(m, now));
         let credit = self.members.get(id).map_or(0.0, |m| self.credit(m, now));
         let pace = out.map(|out| self.pace[out.class]);
         let aim = out.map_or(Span(0), |out| self.settings.classes[out.class].aim);
@@ -644,19 +656,21 @@
         match verdict {
             Verdict::Ok => {
                 if crowded {
-                    m.crowded(now, took);
-                } else if m.in_work(now) + 1.0 >= m.limit * LIMIT_USED {
+                    m.crowded(now, took, work);
+                } else if work + 1.0 >= m.limit * LIMIT_USED {
                     m.limit += (1.0 / m.limit).min(m.limit * LIMIT_GROWTH);
                 }
                 self.served.add(now, MEMORY, [0.0, 1.0]);
                 m.ill *= HEALING;
                 m.ejections = m.ejections.saturating_sub(1);
                 m.ejected = NEVER;
+                m.reached = m.reached.max(now - took);
                 let met = out.and_then(|out| out.need).filter(|_| self.settings.checks == Checks::Refuse);
                 m.position = m.position.max(met.map_or(NEVER, |need| need.min(now)));
             }
             // A member that answered others meanwhile is crowded, not dead: ejecting for it would eject all.
-            Verdict::Timeout if !lone => m.crowded(now, took),
+            Verdict::Timeout if lost => {}
+            Verdict::Timeout if !lone => m.crowded(now, took, work),
             Verdict::Timeout | Verdict::Reset | Verdict::Broken => m.strike(now, LOST_ANSWER),
             // It was down, so if it comes back it is cold, whatever the list says.
             Verdict::ConnectFailed => {
@@ -671,7 +685,7 @@
             }
             // Full, or draining: let it rest for as long as an answer takes, or the whole group is hammered.
             Verdict::Full => {
-                m.crowded(now, took);
+                m.crowded(now, took, work);
                 m.rested = now + pace.map_or(SWEEP, |pace| pace.takes(0.0).max(SWEEP));
             }
             Verdict::Miss => {
@@ -688,7 +702,7 @@
         }
         let Some((out, pace)) = out.zip(pace) else { return };
         let took = took.0 as f64;
-        if verdict == Verdict::Ok || (verdict == Verdict::Timeout && took >= pace.mean) {
+        if verdict == Verdict::Ok || (verdict == Verdict::Timeout && !lost && took >= pace.mean) {
             m.slow = (m.slow * SLOW_KEEPS + (1.0 - SLOW_KEEPS) * took / pace.mean.max(1.0))
                 .clamp(QUICKEST, SLOWEST);
             self.pace[out.class].learn(took);
@@ -709,17 +723,35 @@
             age.clamp(1.0, LONGEST_WAIT)
         };
         let out: f64 = m.out.values().map(waits).sum();
-        let left = m.in_work(now) - m.out.len() as f64;
+        let left = self.in_work(m, now) - self.live(m, now);
         (1.0 + out + left) * m.slow * (1.0 + ILL_COUNTS * m.ill)
     }
 
     fn suspect(&self, m: &Member, now: Time) -> bool {
-        let silent = |out: &Out| {
-            out.sent > m.heard && now - out.sent > self.pace[out.class].takes(OVERDUE).times(SILENCE)
-        };
         now < m.ejected
-            || (m.ejections > 0 && !m.out.is_empty())
-            || (self.stalled != now && m.out.values().any(silent))
+            || (m.ejections > 0 && self.live(m, now) > 0.0)
+            || (self.stalled != now && m.out.values().any(|out| out.sent > m.heard && self.overdue(out, now)))
+    }
+
+    /// Whether an attempt is out for far too long.
+    fn overdue(&self, out: &Out, now: Time) -> bool {
+        now - out.sent > self.pace[out.class].takes(OVERDUE).times(SILENCE)
+    }
+
+    /// Whether it is, and either what was sent later has been answered, so that its connection alone is silent,
+    /// or nothing has been since. Else it may be waiting its turn.
+    fn lost(&self, m: &Member, out: &Out, now: Time) -> bool {
+        self.overdue(out, now) && (out.sent < m.reached || out.sent > m.heard)
+    }
+
+    fn live(&self, m: &Member, now: Time) -> f64 {
+        m.out.values().filter(|out| !self.lost(m, out, now)).count() as f64
+    }
+
+    /// What a member works at for this router, as far as is known: giving an attempt up stops nothing there,
+    /// and one that is far overdue got lost.
+    fn in_work(&self, m: &Member, now: Time) -> f64 {
+        self.live(m, now) + m.left.iter().filter(|done| now < **done).count() as f64
     }
 
     fn warmth(&self, m: &Member, now: Time) -> f64 {
@@ -735,7 +767,7 @@
 
     fn room(&self, m: &Member, now: Time) -> bool {
         let cold = self.warmth(m, now) < 1.0 && self.credit(m, now) < 1.0;
-        now >= m.rested && m.in_work(now) < m.limit && !cold
+        now >= m.rested && self.in_work(m, now) < m.limit && !cold
     }
 
     /// Own share of a cold member's budget: what a member usually serves for this router, times the multiple
@@ -881,7 +913,16 @@
 impl Member {
     fn new(group: GroupId, limit: f64) -> Self {
         let state = ListState::Gone;
-        Self { group, state, limit, slow: 1.0, position: NEVER, read_at: NEVER, ..Self::default() }
+        Self {
+            group,
+            state,
+            limit,
+            slow: 1.0,
+            position: NEVER,
+            read_at: NEVER,
+            reached: NEVER,
+            ..Self::default()
+        }
     }
 
     fn start(&mut self, now: Time, at: Time, credit: f64) {
@@ -911,15 +952,10 @@
         }
     }
 
-    /// What it works at for this router, as far as is known: giving an attempt up stops nothing there.
-    fn in_work(&self, now: Time) -> f64 {
-        (self.out.len() + self.left.iter().filter(|done| now < **done).count()) as f64
-    }
-
     /// Shrinks the limit, at most once per answer's time: the answers that follow tell of the same crowd.
-    fn crowded(&mut self, now: Time, took: Span) {
+    fn crowded(&mut self, now: Time, took: Span, work: f64) {
         if now - took >= self.cut {
-            self.limit = (self.limit.min(self.in_work(now) + 1.0) * LIMIT_CUT).max(LEAST_LIMIT);
+            self.limit = (self.limit.min(work + 1.0) * LIMIT_CUT).max(LEAST_LIMIT);
             self.cut = now;
         }
     }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -41,6 +41,8 @@
     pub(crate) ejections: u32,
     pub(crate) ejected: Time,
     pub(crate) heard: Time,
+    /// When the latest of the attempts was sent that it has answered.
+    pub(crate) reached: Time,
     pub(crate) probed: Time,
     /// Sends that the cold budget still allowed then. It starts by chance, so that many routers with less
     /// than one send each add up to their shares.
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -433,6 +433,25 @@
     host.end_with(id, 0, 1, Verdict::Ok, Some(Role::Primary));
 }
 
+#[test]
+fn a_primary_whose_connections_fell_silent_is_tried_by_one_fresh_read_at_a_time() {
+    // Seen on an incident: three writes without an answer, and the group stood still until their deadline.
+    let mut host = with_primary(settings());
+    let lost: Vec<_> = (0..3).map(|_| host.ask_within(UNSAFE, 5_000).0).collect();
+    host.pass(1_500);
+    let (write, actions) = host.ask_within(UNSAFE, 3_000);
+    assert!(sends(&actions).is_empty(), "a write is not what tries it");
+    let (trial, actions) = host.ask(FRESH);
+    assert_eq!(sends(&actions), [member(1)]);
+    let (held, actions) = host.ask(FRESH);
+    assert!(sends(&actions).is_empty(), "one at a time");
+    let actions = host.end_with(trial, 0, 1, Verdict::Ok, Some(Role::Primary));
+    assert_eq!(sends(&actions), [member(1), member(1)], "its answer shows that the member lives");
+    host.end_with(held, 0, 1, Verdict::Ok, Some(Role::Primary));
+    host.end_with(write, 0, 1, Verdict::Ok, Some(Role::Primary));
+    assert!(lost.iter().all(|id| !host.end(*id, 0, 1, Verdict::Timeout).is_empty()), "they fail");
+}
+
 #[test]
 fn a_silent_member_gets_no_new_reads() {
     let mut host = Host::new(settings(), 3);
