Writes in doubt are listed by their clients' ids; no part of net gets the whole node

Need: a write that was sent whole and has no answer ends as failed, and operators had no way to find it where it may have run. Parts of net reached into one Node for whatever they wanted. Change: the latest 256 writes in doubt are listed with id, class, member and time on SIGUSR1 and at the end; clients' side, signals and the rest are given what they use, with the stages of the end in a part of their own.

--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -137,9 +137,9 @@
     pooler.feed().doubt(REGISTRY, registry.doubt);
     if let Some(registrar) = Registrar::new(&registry, sink(), counters.clone())? {
         pooler.spawn(registrar.run(life.clone()));
-        let (draining, life) = (pooler.draining(), life.clone());
+        let (whole, life) = (pooler.life(), life.clone());
         pooler.spawn(async move {
-            draining.raised().await;
+            whole.draining.raised().await;
             life.set(Some(Status::OutOfService));
         });
     }
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -95,6 +95,10 @@
     let answer = client.ask(&top_up("2"));
     assert_eq!((answer.tags.as_str(), answer.code.as_deref()), ("EZ", Some("08007")));
     assert_eq!((replica.got().len(), primary.got().len()), (1, 2), "not sent again");
+    // Whoever has to look it up finds it by the client's id.
+    pooler.signal("USR1");
+    let doubts = pooler.logged("in doubt: ");
+    assert!(doubts.contains("in doubt: 1 since the start; top-up id=2 at s-2, "), "{doubts}");
 }
 
 #[test]
--- a/crates/net/src/config.rs
+++ b/crates/net/src/config.rs
@@ -22,9 +22,17 @@
         /// What went wrong.
         error: std::io::Error,
     },
-    /// It is not the JSON that was expected.
+    /// It is not the JSON that was expected; the error has the line and column.
     #[error("configuration: {0}")]
     Json(#[from] serde_json::Error),
+    /// The file at a path is wrong.
+    #[error("{path}: {error}")]
+    In {
+        /// The path.
+        path: String,
+        /// What is wrong.
+        error: Box<ConfigError>,
+    },
     /// The settings lack something.
     #[error("configuration: {0}")]
     Settings(String),
@@ -110,7 +118,8 @@
     pub fn load(path: &Path) -> Result<Self, ConfigError> {
         let text = std::fs::read_to_string(path)
             .map_err(|error| ConfigError::Read { path: path.display().to_string(), error })?;
-        Self::decode(&text)
+        let inside = |error| ConfigError::In { path: path.display().to_string(), error: Box::new(error) };
+        Self::decode(&text).map_err(inside)
     }
 
     /// Decodes a configuration.
--- a/crates/net/src/counters.rs
+++ b/crates/net/src/counters.rs
@@ -1,8 +1,9 @@
 //! What the pooler took in, sent and answered.
 
 use linnetdeal_core::Verdict;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
+use std::rc::Rc;
 
 /// A count that only grows.
 #[derive(Debug, Default)]
@@ -51,6 +52,29 @@
     outcomes: [Count; 11],
 }
 
+/// What is shown on request and at the end: the counters, and what others count beside them.
+#[derive(Default)]
+pub struct Shown {
+    /// The counters.
+    pub counters: Rc<Counters>,
+    beside: RefCell<Vec<Rc<dyn fmt::Display>>>,
+}
+
+impl Shown {
+    /// Has this shown as well.
+    pub fn add(&self, what: Rc<dyn fmt::Display>) {
+        self.beside.borrow_mut().push(what);
+    }
+
+    /// Writes all to the log, a line each.
+    pub fn log(&self) {
+        tracing::info!("{}", self.counters);
+        for what in self.beside.borrow().iter() {
+            tracing::info!("{what}");
+        }
+    }
+}
+
 const VERDICTS: [(Verdict, &str); 11] = [
     (Verdict::Ok, "ok"),
     (Verdict::Error, "error"),
--- /dev/null
+++ b/crates/net/src/doubts.rs
@@ -0,0 +1,51 @@
+//! Writes whose outcome nobody knows: all of it was sent, no answer came, and it must not be sent again. Their clients are
+//! told "failed"; operators find them here, by the clients' ids, to look them up where they would have run.
+
+use linnetdeal_core::{MemberId, Time};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::fmt;
+
+/// So many of the latest are kept.
+const KEPT: usize = 256;
+/// An id is kept up to this length.
+const LONGEST_ID: usize = 64;
+
+#[derive(Debug)]
+struct Doubt {
+    id: Box<str>,
+    class: Box<str>,
+    member: Option<MemberId>,
+    at: Time,
+}
+
+/// The writes in doubt since the start, the latest of them by name.
+#[derive(Debug, Default)]
+pub struct Doubts {
+    all: Cell<u64>,
+    latest: RefCell<VecDeque<Doubt>>,
+}
+
+impl Doubts {
+    /// One more: the client's id, its class, the member that may have run it, and when that was given up.
+    pub fn add(&self, id: &str, class: &str, member: Option<MemberId>, at: Time) {
+        self.all.set(self.all.get().saturating_add(1));
+        let mut latest = self.latest.borrow_mut();
+        if latest.len() == KEPT {
+            latest.pop_front();
+        }
+        let id: String = id.chars().take(LONGEST_ID).collect();
+        latest.push_back(Doubt { id: id.into(), class: class.into(), member, at });
+    }
+}
+
+impl fmt::Display for Doubts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "in doubt: {} since the start", self.all.get())?;
+        for Doubt { id, class, member, at } in self.latest.borrow().iter().rev() {
+            let member = member.as_ref().map_or("-", |member| &member.0);
+            write!(f, "; {class} id={id} at {member}, {} ms", at.0 / 1_000)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -1,15 +1,21 @@
 //! Clients: connections are accepted within a budget, and each has a task that reads its commands in order.
 
-use super::Node;
 use super::buffer::{ReadBuffer, discard, write_all};
 use super::pg::write::{self, Severity};
 use super::pg::{self, Asks, PgError, Startup};
 use super::request::{Asked, Cut, Final, serve};
-use super::seats::{Rank, Seat};
-use super::upstream::{Reply, Statement};
+use super::seats::{Rank, Seat, Seats};
+use super::upstream::{Pool, Reply, Statement};
+use crate::counters::Counters;
+use crate::doubts::Doubts;
+use crate::driver::Driver;
+use crate::life::Life;
+use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future::{or, yield_now};
 use linnetdeal_core::*;
+use std::cell::RefCell;
+use std::collections::HashSet;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -45,29 +51,55 @@
     Async::new(listener)
 }
 
-/// Accepts clients until the node turns deaf.
-pub(crate) async fn run(node: Rc<Node>, listener: Async<TcpListener>) {
+/// What those need who serve clients.
+pub(crate) struct Door {
+    /// What carries the tasks.
+    pub(crate) executor: Rc<LocalExecutor<'static>>,
+    /// The module and its mailboxes.
+    pub(crate) driver: Rc<Driver>,
+    /// The connections to the members.
+    pub(crate) pool: Rc<Pool>,
+    /// What is counted.
+    pub(crate) counters: Rc<Counters>,
+    /// How far the pooler's life has come.
+    pub(crate) life: Rc<Life>,
+    /// The seats of the connections.
+    pub(crate) seats: Rc<Seats>,
+    /// The classes by name.
+    pub(crate) classes: Vec<(String, Need)>,
+    /// Writes whose outcome nobody knows.
+    pub(crate) doubts: Rc<Doubts>,
+    /// The longest deadline of any class.
+    pub(crate) longest_deadline: Duration,
+    /// The clients' ids of the requests that are open: at most one a connection.
+    pub(crate) open_ids: RefCell<HashSet<Box<str>>>,
+    /// Where bytes are read to that nobody wants.
+    pub(crate) scratch: RefCell<Vec<u8>>,
+}
+
+/// Accepts clients until the pooler turns deaf.
+pub(crate) async fn run(door: Rc<Door>, listener: Async<TcpListener>) {
     loop {
         let accepted = async {
-            let room = node.seats.room().await;
+            let room = door.seats.room().await;
             Some(listener.accept().await.map(|(stream, _)| (stream, room)))
         };
         let deaf = async {
-            node.deaf.raised().await;
+            door.life.deaf.raised().await;
             None
         };
         match or(accepted, deaf).await {
             None => return,
             Some(Ok((stream, room))) => {
-                admit(&node, stream, room);
+                admit(&door, stream, room);
                 // A flood of connections holds up nobody who is already here.
                 yield_now().await;
             }
             // Out of descriptors: neither spin nor end. An idle connection is let go to make room.
             Some(Err(error)) if super::upstream::shortage(&error) => {
-                node.counters.short.add();
-                if !node.pool.close_one_idle() {
-                    node.seats.ask_one_to_go(Rank::Parting..=Rank::Idle);
+                door.counters.short.add();
+                if !door.pool.close_one_idle() {
+                    door.seats.ask_one_to_go(Rank::Parting..=Rank::Idle);
                 }
                 Timer::after(SHORT_PAUSE).await;
             }
@@ -79,13 +111,13 @@
     }
 }
 
-fn admit(node: &Rc<Node>, stream: Async<TcpStream>, room: bool) {
-    node.counters.clients.add();
-    let owner = node.clone();
+fn admit(door: &Rc<Door>, stream: Async<TcpStream>, room: bool) {
+    door.counters.clients.add();
+    let owner = door.clone();
     let task = async move {
         let seat = owner.seats.take();
         let mut client = Client {
-            node: &owner,
+            door: &owner,
             // Closed before the seat counts as free.
             stream,
             buffer: ReadBuffer::default(),
@@ -97,7 +129,7 @@
         // What went wrong on one client's connection concerns nobody else: it is closed.
         let _ = client.run(room).await;
     };
-    node.executor.spawn(task).detach();
+    door.executor.spawn(task).detach();
 }
 
 /// Why a client's connection ends.
@@ -123,7 +155,7 @@
 }
 
 struct Client<'a> {
-    node: &'a Rc<Node>,
+    door: &'a Rc<Door>,
     stream: Async<TcpStream>,
     buffer: ReadBuffer,
     seat: Seat<'a>,
@@ -154,7 +186,7 @@
         };
         match ended {
             Err(ClientError::Pg(error)) => {
-                self.node.counters.rejected.add();
+                self.door.counters.rejected.add();
                 self.part("08P01", &error.to_string(), None).await
             }
             other => other,
@@ -171,14 +203,14 @@
         self.buffer = ReadBuffer::default();
         let rest = async {
             // One that sends at full speed holds up nobody else.
-            while matches!(discard(&self.stream, &self.node.scratch).await, Ok(1..)) {
+            while matches!(discard(&self.stream, &self.door.scratch).await, Ok(1..)) {
                 yield_now().await;
             }
         };
         let enough = async {
             Timer::after(PARTING).await;
         };
-        let work = or(rest, or(enough, self.node.ending.raised()));
+        let work = or(rest, or(enough, self.door.life.ending.raised()));
         self.seat.yielding(Rank::Parting, Instant::now(), work).await;
         Ok(())
     }
@@ -206,7 +238,7 @@
             }
         }
         if !room {
-            self.node.counters.crowded_out.add();
+            self.door.counters.crowded_out.add();
             self.part("53300", "too many clients", Some("250")).await?;
             return Ok(false);
         }
@@ -244,7 +276,7 @@
                     self.send(&[&out]).await?;
                 }
                 Command::Rejected(code, words) => {
-                    self.node.counters.rejected.add();
+                    self.door.counters.rejected.add();
                     self.errors += 1;
                     if self.errors >= MOST_ERRORS {
                         return self.part(code, &words, None).await;
@@ -264,7 +296,7 @@
                 }
                 Command::Request(asked, open) => {
                     self.stage = Stage::Known;
-                    if !self.request(asked, &mut out).await? {
+                    if !self.request(asked, &open.id, &mut out).await? {
                         return Ok(());
                     }
                     drop(open);
@@ -284,7 +316,7 @@
     /// Reads more; false if there will be none, or the client has to go: it makes room, took too long for a
     /// command, or the process ends. What is readable goes before all that.
     async fn more(&mut self) -> Result<bool, ClientError> {
-        let Self { node, stream, buffer, seat, stage, since, .. } = self;
+        let Self { door, stream, buffer, seat, stage, since, .. } = self;
         let between = buffer.data().is_empty() && *stage != Stage::Startup;
         buffer.rest();
         // The first bytes of a command that has begun came just now; they don't grant more time again.
@@ -301,7 +333,7 @@
             Ok(false)
         };
         let ending = async {
-            let ends = if between { &node.closing } else { &node.ending };
+            let ends = if between { &door.life.closing } else { &door.life.ending };
             ends.raised().await;
             Ok(false)
         };
@@ -322,8 +354,8 @@
                 let statement = pg::query_text(message.body)?;
                 match pg::request(statement) {
                     Ok(Asks::Request(comment)) => {
-                        let asked = self.node.asked(statement, &comment);
-                        let open = OpenId::enter(self.node, comment.id);
+                        let asked = self.door.asked(statement, &comment);
+                        let open = OpenId::enter(self.door, comment.id);
                         if let (Some(asked), Some(open)) = (asked, open) {
                             let wait = comment.wait_at.clone();
                             let (bytes, at) = self.buffer.detach(size);
@@ -354,17 +386,26 @@
     }
 
     /// Serves a request and writes its one answer; false if the connection ends with it.
-    async fn request(&mut self, asked: Asked<Statement>, out: &mut Vec<u8>) -> Result<bool, ClientError> {
-        let Self { node, stream, buffer, .. } = self;
+    async fn request(
+        &mut self,
+        asked: Asked<Statement>,
+        id: &str,
+        out: &mut Vec<u8>,
+    ) -> Result<bool, ClientError> {
+        let Self { door, stream, buffer, .. } = self;
         let left = async {
             client_left(stream, buffer).await;
             Cut::ClientLeft
         };
         let ending = async {
-            node.ending.raised().await;
+            door.life.ending.raised().await;
             Cut::ProcessEnds
         };
-        let answer = serve(&node.driver, &*node.pool, &asked, or(left, ending)).await;
+        let answer = serve(&door.driver, &*door.pool, &asked, or(left, ending)).await;
+        let (class, need) = &door.classes[asked.class.0];
+        if let (Final::Failed { at: Some(at) }, Need::Write) = (&answer, need) {
+            door.doubts.add(id, class, Some(at.clone()), door.driver.clock.now());
+        }
         self.buffer.give_back(asked.query.bytes);
         self.answer(answer, out).await
     }
@@ -389,7 +430,7 @@
                 write::ready(out);
                 self.send(&[out]).await?;
             }
-            Final::Failed => {
+            Final::Failed { .. } => {
                 write::error(out, Severity::Error, "08007", "no answer; it may have been carried out", None);
                 write::ready(out);
                 self.send(&[out]).await?;
@@ -411,26 +452,26 @@
 
 /// The id of a request that is open, given free when it is dropped: nobody else may use it meanwhile.
 struct OpenId {
-    node: Rc<Node>,
+    door: Rc<Door>,
     id: Box<str>,
 }
 
 impl OpenId {
     /// `None` if a request with this id is open.
-    fn enter(node: &Rc<Node>, id: &str) -> Option<Self> {
+    fn enter(door: &Rc<Door>, id: &str) -> Option<Self> {
         let id: Box<str> = id.into();
-        let new = node.open_ids.borrow_mut().insert(id.clone());
-        new.then(|| Self { node: node.clone(), id })
+        let new = door.open_ids.borrow_mut().insert(id.clone());
+        new.then(|| Self { door: door.clone(), id })
     }
 }
 
 impl Drop for OpenId {
     fn drop(&mut self) {
-        self.node.open_ids.borrow_mut().remove(&self.id);
+        self.door.open_ids.borrow_mut().remove(&self.id);
     }
 }
 
-impl Node {
+impl Door {
     /// The request that a statement makes; `None` if its class is unknown.
     fn asked(&self, statement: &str, comment: &pg::Comment<'_>) -> Option<Asked<()>> {
         let at = self.classes.iter().position(|(name, _)| name == comment.class)?;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,10 +5,12 @@
 pub mod config;
 pub mod counters;
 pub mod discovery;
+pub mod doubts;
 pub mod driver;
 pub mod flag;
 pub mod frontend;
 pub mod http;
+pub mod life;
 pub mod members;
 pub mod pg;
 pub mod probes;
@@ -19,22 +21,20 @@
 
 use crate::config::Config;
 use async_executor::LocalExecutor;
-use counters::Counters;
+use counters::Shown;
 use discovery::{Follower, Source};
+use doubts::Doubts;
 use driver::Driver;
-use flag::Flag;
-use linnetdeal_core::Need;
+use life::Life;
 use linnetdeal_core::Router;
 use members::{Feed, Members};
 use seats::Seats;
 use std::cell::RefCell;
-use std::collections::HashSet;
 use std::fmt::Display;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::Duration;
 use upstream::Pool;
 
 /// Bytes that nobody wants are read so many at a time.
@@ -51,52 +51,11 @@
     Signals(std::io::Error),
 }
 
-/// What the tasks that serve clients share.
-struct Node {
-    /// What carries the tasks.
-    executor: Rc<LocalExecutor<'static>>,
-    /// The module and its mailboxes.
-    driver: Rc<Driver>,
-    /// The connections to the members.
-    pool: Rc<Pool>,
-    /// What is counted.
-    counters: Rc<Counters>,
-    source: Rc<Source>,
-    config_file: PathBuf,
-    longest_deadline: Duration,
-    classes: Vec<(String, Need)>,
-    seats: Seats,
-    /// The clients' ids of the requests that are open.
-    open_ids: RefCell<HashSet<Box<str>>>,
-    /// Where bytes are read to that nobody wants.
-    scratch: RefCell<Vec<u8>>,
-    /// What else is shown beside the counters.
-    shown: RefCell<Vec<Rc<dyn Display>>>,
-    /// The pooler has been told to end: it serves on, but wants nothing new for longer than that.
-    draining: Rc<Flag>,
-    /// Idle clients are closed.
-    closing: Flag,
-    /// Nobody is accepted any more.
-    deaf: Flag,
-    /// What is open gets its answer now.
-    ending: Flag,
-    /// All is done.
-    ended: Flag,
-}
-
-impl Node {
-    /// Writes the counters to the log.
-    fn show(&self) {
-        tracing::info!("{}", self.counters);
-        for what in self.shown.borrow().iter() {
-            tracing::info!("{what}");
-        }
-    }
-}
-
 /// A pooler that listens, with nothing served yet. Further sources of members are put beside it before it runs.
 pub struct Pooler {
-    node: Rc<Node>,
+    executor: Rc<LocalExecutor<'static>>,
+    life: Rc<Life>,
+    shown: Rc<Shown>,
     feed: Feed,
     name: String,
     listening: SocketAddr,
@@ -109,7 +68,8 @@
     ///
     /// When it can't listen, or signals can't be had.
     pub fn new(config: Config, config_file: PathBuf) -> Result<Self, RunError> {
-        let counters = Rc::new(Counters::default());
+        let (shown, life) = (Rc::new(Shown::default()), Rc::new(Life::default()));
+        let counters = shown.counters.clone();
         let members = Rc::new(Members::default());
         let executor = Rc::new(LocalExecutor::new());
         let (probes, wanted) = async_channel::unbounded();
@@ -124,25 +84,32 @@
         let pool = Rc::new(Pool::new(members.clone(), counters.clone(), config.host, most_upstream));
         let source = Rc::new(Source::new(config.discovery));
         let feed = Feed::new(members, driver.clone());
-        let node = Rc::new(Node {
+        let seats = Seats::new(shared - most_upstream - spare_clients, spare_clients, config.sockets / 4);
+        let seats = Rc::new(seats);
+        let doubts = Rc::new(Doubts::default());
+        shown.add(doubts.clone());
+        let handler = signals::Handler {
             executor: executor.clone(),
-            driver: driver.clone(),
-            pool: pool.clone(),
-            counters: counters.clone(),
+            life: life.clone(),
+            seats: seats.clone(),
+            shown: shown.clone(),
             source: source.clone(),
             config_file,
             longest_deadline,
+        };
+        let door = frontend::Door {
+            executor: executor.clone(),
+            driver: driver.clone(),
+            pool: pool.clone(),
+            counters: counters.clone(),
+            life: life.clone(),
+            seats,
             classes,
-            seats: Seats::new(shared - most_upstream - spare_clients, spare_clients, config.sockets / 4),
+            doubts,
+            longest_deadline,
             open_ids: RefCell::default(),
             scratch: RefCell::new(vec![0; SCRATCH]),
-            shown: RefCell::default(),
-            draining: Rc::default(),
-            closing: Flag::default(),
-            deaf: Flag::default(),
-            ending: Flag::default(),
-            ended: Flag::default(),
-        });
+        };
 
         // The list last held comes first: a pooler serves from it while discovery is down.
         let follower = Follower::new(source, feed.clone(), counters);
@@ -150,14 +117,14 @@
         let listener =
             frontend::listen(config.listen).map_err(|error| RunError::Listen(config.listen, error))?;
         let listening = listener.get_ref().local_addr().unwrap_or(config.listen);
-        signals::listen(&node).map_err(RunError::Signals)?;
+        signals::listen(&Rc::new(handler)).map_err(RunError::Signals)?;
         let (a, b) = (driver.clone(), pool.clone());
         executor.spawn(async move { a.run_wakes().await }).detach();
         executor.spawn(async move { b.run_upkeep().await }).detach();
         executor.spawn(probes::run(executor.clone(), driver, pool, wanted)).detach();
         executor.spawn(discovery::run(follower, config.known.generation)).detach();
-        executor.spawn(frontend::run(node.clone(), listener)).detach();
-        Ok(Self { node, feed, name: config.name, listening })
+        executor.spawn(frontend::run(Rc::new(door), listener)).detach();
+        Ok(Self { executor, life, shown, feed, name: config.name, listening })
     }
 
     /// The way in for what a further source of members tells.
@@ -172,30 +139,29 @@
         self.listening
     }
 
-    /// Raised as soon as the pooler is told to end.
+    /// How far its life has come.
     #[must_use]
-    pub fn draining(&self) -> Rc<Flag> {
-        self.node.draining.clone()
+    pub fn life(&self) -> Rc<Life> {
+        self.life.clone()
     }
 
     /// Has a task run beside the others, for as long as the pooler does.
     pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
-        self.node.executor.spawn(task).detach();
+        self.executor.spawn(task).detach();
     }
 
     /// Has this shown beside the counters, on request and at the end.
     pub fn show(&self, what: Rc<dyn Display>) {
-        self.node.shown.borrow_mut().push(what);
+        self.shown.add(what);
     }
 
     /// Serves until it has drained after a signal, and then does the `last` thing.
     pub fn run(self, last: impl Future<Output = ()>) {
         tracing::info!("{} listening on {}", self.name, self.listening);
-        let node = &self.node;
-        async_io::block_on(node.executor.run(async {
-            node.ended.raised().await;
+        async_io::block_on(self.executor.run(async {
+            self.life.ended.raised().await;
             last.await;
         }));
-        node.show();
+        self.shown.log();
     }
 }
--- /dev/null
+++ b/crates/net/src/life.rs
@@ -0,0 +1,18 @@
+//! How far the life of a pooler has come, each stage raised once and in this order.
+
+use crate::flag::Flag;
+
+/// The stages of a pooler's end.
+#[derive(Debug, Default)]
+pub struct Life {
+    /// It has been told to end: it serves on, but wants nothing new for longer than that.
+    pub draining: Flag,
+    /// Idle clients are closed.
+    pub closing: Flag,
+    /// Nobody is accepted any more.
+    pub deaf: Flag,
+    /// What is open gets its answer now.
+    pub ending: Flag,
+    /// All is done.
+    pub ended: Flag,
+}
--- a/crates/net/src/request.rs
+++ b/crates/net/src/request.rs
@@ -81,8 +81,11 @@
     Served(R),
     /// Refused; trying again does no harm.
     Refused(Option<Span>),
-    /// Failed; nothing is promised.
-    Failed,
+    /// Failed; nothing is promised. Named is the last member that may have run it, if one may.
+    Failed {
+        /// The member.
+        at: Option<MemberId>,
+    },
     /// Nobody is there to be told.
     Gone,
 }
@@ -102,7 +105,7 @@
 ) -> Final<C::Reply> {
     let mut cut = pin!(cut);
     let mut sends = 0;
-    let mut may_have_run = false;
+    let mut may_have_run = None;
 
     // Taken: the module is asked what to do.
     let ticket = driver.take(|id, now| Request {
@@ -122,7 +125,7 @@
         let (member, wait) = match or(order, left).await {
             Turn::Ordered(Order::Send { member, wait }) => (member, wait),
             Turn::Ordered(Order::Refuse { retry_after }) => return refused(driver, retry_after),
-            Turn::Ordered(Order::Fail) => return failed(driver),
+            Turn::Ordered(Order::Fail) => return failed(driver, may_have_run),
             Turn::Ordered(Order::Cancel) | Turn::Ended(_) => continue,
             Turn::Cut(why) => {
                 driver.feed(Event::Gone(ticket.id()));
@@ -147,7 +150,9 @@
             Turn::Cut(why) => (Ended::without_answer(Verdict::Cancelled), Some(Err(why))),
         };
         let Ended { verdict, note, report, reply } = ended;
-        may_have_run |= !verdict.never_ran();
+        if !verdict.never_ran() {
+            may_have_run = Some(member.clone());
+        }
         if matches!(after, Some(Err(_))) {
             driver.feed(Event::Gone(ticket.id()));
         }
@@ -171,7 +176,7 @@
                 return Final::Served(reply);
             }
             (None, Some(Ok(Order::Refuse { retry_after }))) => return refused(driver, retry_after),
-            (None, Some(Ok(Order::Fail))) => return failed(driver),
+            (None, Some(Ok(Order::Fail))) => return failed(driver, may_have_run),
             (None, Some(Err(why))) => return end_early(driver, why, may_have_run),
             (None, None | Some(Ok(_))) => {}
         }
@@ -183,19 +188,19 @@
     Final::Refused(retry_after)
 }
 
-fn failed<R>(driver: &Driver) -> Final<R> {
+fn failed<R>(driver: &Driver, at: Option<MemberId>) -> Final<R> {
     driver.counters.failed.add();
-    Final::Failed
+    Final::Failed { at }
 }
 
 /// At the end of the process a refusal is an honest answer only to what can't have run.
-fn end_early<R>(driver: &Driver, why: Cut, may_have_run: bool) -> Final<R> {
+fn end_early<R>(driver: &Driver, why: Cut, may_have_run: Option<MemberId>) -> Final<R> {
     match why {
         Cut::ClientLeft => {
             driver.counters.gone.add();
             Final::Gone
         }
-        Cut::ProcessEnds if may_have_run => failed(driver),
+        Cut::ProcessEnds if may_have_run.is_some() => failed(driver, may_have_run),
         Cut::ProcessEnds => refused(driver, None),
     }
 }
--- a/crates/net/src/signals.rs
+++ b/crates/net/src/signals.rs
@@ -1,11 +1,16 @@
 //! Signals: SIGTERM or SIGINT drains the pooler, SIGHUP reads the configuration again, SIGUSR1 prints the counters.
 
-use crate::Node;
 use crate::config::Config;
+use crate::counters::Shown;
+use crate::discovery::Source;
+use crate::life::Life;
+use crate::seats::Seats;
+use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use std::io;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -25,63 +30,81 @@
 const FLUSH: Duration = Duration::from_millis(150);
 const LOOK: Duration = Duration::from_millis(10);
 
+/// What signals act on.
+pub(crate) struct Handler {
+    /// What carries the tasks.
+    pub(crate) executor: Rc<LocalExecutor<'static>>,
+    /// How far the pooler's life has come.
+    pub(crate) life: Rc<Life>,
+    /// The clients' seats: who is still there.
+    pub(crate) seats: Rc<Seats>,
+    /// What is counted.
+    pub(crate) shown: Rc<Shown>,
+    /// Where the platform's list is followed.
+    pub(crate) source: Rc<Source>,
+    /// Where the configuration was read, and is read again.
+    pub(crate) config_file: PathBuf,
+    /// The longest deadline of any class.
+    pub(crate) longest_deadline: Duration,
+}
+
 /// Handles signals until the pooler has drained.
 ///
 /// # Errors
 ///
 /// When signals can't be had.
-pub(crate) fn listen(node: &Rc<Node>) -> io::Result<()> {
+pub(crate) fn listen(handler: &Rc<Handler>) -> io::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup, Signal::Usr1])?;
-    let listener = node.clone();
+    let listener = handler.clone();
     let task = async move {
         let mut draining = false;
         while let Some(signal) = signals.next().await {
             match signal {
-                Ok(Signal::Usr1) => listener.show(),
+                Ok(Signal::Usr1) => listener.shown.log(),
                 Ok(Signal::Hup) => reload(&listener),
                 _ if std::mem::replace(&mut draining, true) => {}
                 _ => {
-                    let node = listener.clone();
-                    listener.executor.spawn(async move { drain(&node).await }).detach();
+                    let handler = listener.clone();
+                    listener.executor.spawn(async move { drain(&handler).await }).detach();
                 }
             }
         }
     };
-    node.executor.spawn(task).detach();
+    handler.executor.spawn(task).detach();
     Ok(())
 }
 
 /// Reads the configuration again and follows discovery where it says. All else in it holds from the next start;
 /// the list that is held, the connections and the open requests stay as they are. A file that can't be used
 /// changes nothing.
-fn reload(node: &Node) {
-    match Config::load(&node.config_file) {
+fn reload(handler: &Handler) {
+    match Config::load(&handler.config_file) {
         Ok(config) => {
-            node.counters.reloads.add();
+            handler.shown.counters.reloads.add();
             tracing::info!("configuration read again, discovery at {:?}", config.discovery);
-            node.source.follow(config.discovery);
+            handler.source.follow(config.discovery);
         }
         Err(error) => tracing::warn!("configuration kept as it was: {error}"),
     }
 }
 
 /// Serves on while there is time, then closes clients as they fall idle, and ends when none is left.
-async fn drain(node: &Node) {
+async fn drain(handler: &Handler) {
     let started = Instant::now();
-    node.draining.raise();
-    tracing::info!("draining with {} clients connected", node.seats.taken());
-    let last = node.longest_deadline.min(LONGEST_COUNTED) + KILL_GRACE - MARGIN;
+    handler.life.draining.raise();
+    tracing::info!("draining with {} clients connected", handler.seats.taken());
+    let last = handler.longest_deadline.min(LONGEST_COUNTED) + KILL_GRACE - MARGIN;
     Timer::after(last.saturating_sub(PARTING).max(ARRIVALS)).await;
-    node.closing.raise();
+    handler.life.closing.raise();
     Timer::after(STRAGGLERS).await;
-    node.deaf.raise();
-    while node.seats.taken() > 0 && started.elapsed() < last {
+    handler.life.deaf.raise();
+    while handler.seats.taken() > 0 && started.elapsed() < last {
         Timer::after(LOOK).await;
     }
-    node.ending.raise();
+    handler.life.ending.raise();
     let last = last + FLUSH;
-    while node.seats.taken() > 0 && started.elapsed() < last {
+    while handler.seats.taken() > 0 && started.elapsed() < last {
         Timer::after(LOOK).await;
     }
-    node.ended.raise();
+    handler.life.ended.raise();
 }
