--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The common tasks. CONFIG names the configuration for `make run`.
 CONFIG ?= config.json
 
-.PHONY: build test lint run ci lab proof-eureka bench-eureka demo
+.PHONY: build test lint run ci lab proof-eureka bench-eureka proof-primary demo
 
 build:
 	cargo build --locked --release
@@ -32,6 +32,10 @@
 bench-eureka: lab
 	target/release/linnetdeal-lab eureka-bench
 
+# A primary that dies at each step of a write, in each way, and hands over by plan; the last line is one JSON object.
+proof-primary: lab
+	target/release/linnetdeal-lab primary
+
 # A registry, boxes, a pooler and a client on loopback, to look at. Ends on Ctrl-C or after DEMO_S seconds.
 demo: lab
 	target/release/linnetdeal-lab demo --seconds $(or $(DEMO_S),0)
--- a/crates/lab/src/boxes.rs
+++ b/crates/lab/src/boxes.rs
@@ -1,7 +1,7 @@
 //! Boxes that speak as much of PostgreSQL as a pooler needs, with a role, a log position and a lag.
 
 use crate::ledger::Ledger;
-use crate::lock;
+use crate::{lock, say};
 use linnetdeal_net::pg::{self, write};
 use std::io::{Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
@@ -165,7 +165,8 @@
         }
         if statement.starts_with("SHOW") {
             let (seconds, role) = (self.position() as f64 / 1_000.0, u8::from(primary));
-            self.row(out, format!("x0={seconds:.3},x1={role}").as_bytes(), self.position());
+            say::row(out, format!("x0={seconds:.3},x1={role}").as_bytes(), primary, self.position());
+            write::ready(out);
             return;
         }
         lock(ledger).sent(&self.name, first);
@@ -173,37 +174,21 @@
         if statement.starts_with("INSERT") {
             if !primary {
                 write::error(out, write::Severity::Error, "25006", "read only", None);
-                self.notes(out, self.position());
+                say::notes(out, primary, self.position());
                 write::ready(out);
                 return;
             }
             std::thread::sleep(work);
             lock(ledger).ran(id);
             let commit = log.commit();
-            self.row(out, format!("{id} {commit}").as_bytes(), commit);
+            say::row(out, format!("{id} {commit}").as_bytes(), primary, commit);
+            write::ready(out);
             return;
         }
         // What a read sees is what the box has when the read begins.
         let position = self.position();
         std::thread::sleep(work);
-        self.row(out, format!("{id} {position}").as_bytes(), position);
-    }
-
-    fn notes(&self, out: &mut Vec<u8>, position: i64) {
-        let part = if self.primary.load(Ordering::SeqCst) { "master" } else { "replica" };
-        for (name, value) in [("part", part), ("caught_up_to", &position.to_string())] {
-            message(out, b'S', format!("{name}\0{value}\0").as_bytes());
-        }
-    }
-
-    fn row(&self, out: &mut Vec<u8>, value: &[u8], position: i64) {
-        message(out, b'T', b"\0\x01content\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01");
-        let mut row = vec![0, 1];
-        row.extend_from_slice(&u32::try_from(value.len()).unwrap_or(0).to_be_bytes());
-        row.extend_from_slice(value);
-        message(out, b'D', &row);
-        write::complete(out, "SELECT 1");
-        self.notes(out, position);
+        say::row(out, format!("{id} {position}").as_bytes(), primary, position);
         write::ready(out);
     }
 }
@@ -218,9 +203,3 @@
         .find(|(key, _)| *key == name)
         .map(|(_, value)| value)
 }
-
-fn message(out: &mut Vec<u8>, tag: u8, body: &[u8]) {
-    out.push(tag);
-    out.extend_from_slice(&u32::try_from(body.len() + 4).unwrap_or(0).to_be_bytes());
-    out.extend_from_slice(body);
-}
--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -61,6 +61,7 @@
     address: SocketAddr,
     session: String,
     asked: u64,
+    deadline: Duration,
     rng: ChaCha8Rng,
     stream: Option<TcpStream>,
     read: Vec<u8>,
@@ -71,7 +72,28 @@
     #[must_use]
     pub fn new(address: SocketAddr, at: usize, seed: u64) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(seed ^ at as u64);
-        Self { address, session: format!("acc{at}"), asked: 0, rng, stream: None, read: Vec::new() }
+        Self {
+            address,
+            session: format!("acc{at}"),
+            asked: 0,
+            deadline: DEADLINE,
+            rng,
+            stream: None,
+            read: Vec::new(),
+        }
+    }
+
+    /// The same, waiting so long for each answer.
+    #[must_use]
+    pub fn within(mut self, deadline: Duration) -> Self {
+        self.deadline = deadline;
+        self
+    }
+
+    /// The id of what it asked last.
+    #[must_use]
+    pub fn last_id(&self) -> String {
+        format!("{}x{}", self.session, self.asked)
     }
 
     /// Asks once, for a class by chance; what became of it is in the ledger.
@@ -84,8 +106,8 @@
     /// Asks once for a class.
     pub fn ask_for(&mut self, class: usize, ledger: &Mutex<Ledger>) -> String {
         self.asked += 1;
-        let id = format!("{}x{}", self.session, self.asked);
-        let (session, name, ms) = (&self.session, CLASSES[class], DEADLINE.as_millis());
+        let id = self.last_id();
+        let (session, name, ms) = (&self.session, CLASSES[class], self.deadline.as_millis());
         let comment = format!("/* id={id},c={name},d={ms},cluster=2 */");
         let statement = if class == 4 {
             format!(
@@ -101,7 +123,7 @@
             _ => 0,
         };
         let part = lock(ledger).asked();
-        let end = Instant::now() + DEADLINE;
+        let end = Instant::now() + self.deadline;
         let (how, value) = match self.exchange(&statement, end) {
             Ok(answer) => answer,
             Err(error) => {
--- /dev/null
+++ b/crates/lab/src/demo.rs
@@ -0,0 +1,79 @@
+//! Something to look at: a fleet that is known from a registry alone, and a drain before the reader's eyes.
+
+use crate::clients::Crowd;
+use crate::lock;
+use crate::play::Stage;
+use crate::pooler::Pooler;
+use crate::script::Act;
+use std::io;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Runs it until it is interrupted, or for so many seconds.
+///
+/// # Errors
+///
+/// When something can't be started.
+pub fn run(program: &Path, seconds: u64) -> io::Result<()> {
+    let mut stage = Stage::new(4, 1)?;
+    let operator = stage.operator("");
+    let none = serde_json::json!({"generation": 0, "reset": true, "instances": []});
+    let mut pooler = Pooler::start(program, Some(&operator), &none)?;
+    pooler.logged("instances read")?;
+    let at = pooler.address;
+    println!("The operator's file of this pooler:\n\n{operator}");
+    println!(
+        "The registry: curl -H 'Accept: application/json' http://{}/eureka/apps",
+        stage.peers[0].address
+    );
+    println!(
+        "The pooler:   psql 'host={} port={} user=backend dbname=store sslmode=disable'",
+        at.ip(),
+        at.port()
+    );
+    println!(
+        "and there:    SELECT content FROM kv WHERE name = 'acc1' /* id=mine1,c=usage-history,d=900,cluster=2 */;"
+    );
+    println!("(each request has an id of its own; classes are {})\n", crate::clients::CLASSES.join(", "));
+    let crowd = Crowd::start(at, 4, Duration::from_millis(10), 1, &stage.ledger);
+    let started = Instant::now();
+    let mut before = lock(&stage.ledger).verdict();
+    for second in 1.. {
+        if seconds > 0 && second > seconds {
+            break;
+        }
+        match second % 12 {
+            4 => {
+                println!("      s-3 is drained in the registry");
+                stage.act(&Act::Drain("s-3".into()), &pooler)?;
+            }
+            8 => {
+                println!("      s-3 is back, by its own word");
+                stage.act(&Act::Up("s-3".into()), &pooler)?;
+            }
+            _ => {}
+        }
+        std::thread::sleep(
+            (SECOND * u32::try_from(second).unwrap_or(u32::MAX)).saturating_sub(started.elapsed()),
+        );
+        let now = lock(&stage.ledger).verdict();
+        let sent = |name: &String| {
+            let (now, before) = (now.sends.get(name), before.sends.get(name));
+            now.copied().unwrap_or(0) - before.copied().unwrap_or(0)
+        };
+        let by: Vec<String> = stage.boxes.keys().map(|name| format!("{name} {:>4}", sent(name))).collect();
+        println!(
+            "{second:>4}s asked {:>4}  served {:>4}  sent to {}  late to a drained box {}",
+            now.requests - before.requests,
+            now.served - before.served,
+            by.join("  "),
+            now.drains_broken
+        );
+        before = now;
+    }
+    crowd.stop();
+    pooler.signal("TERM")?;
+    pooler.ended().map(drop)
+}
--- a/crates/lab/src/eureka.rs
+++ b/crates/lab/src/eureka.rs
@@ -83,6 +83,14 @@
         self
     }
 
+    /// Forgets how things were before: a peer that is far behind knows what is there now.
+    pub fn begin(&self) {
+        let mut states = lock(&self.states);
+        let last = states.pop_back();
+        states.clear();
+        states.extend(last);
+    }
+
     /// A stamp, later than all before.
     #[must_use]
     pub fn stamp(&self) -> i64 {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,10 +4,14 @@
 
 pub mod boxes;
 pub mod clients;
+pub mod demo;
 pub mod eureka;
+pub mod family;
 pub mod ledger;
 pub mod play;
 pub mod pooler;
+pub mod primary;
+pub mod say;
 pub mod script;
 pub mod sizes;
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -39,12 +39,34 @@
         #[arg(long, value_delimiter = ',', default_value = "200,2000,20000")]
         sizes: Vec<usize>,
     },
+    /// Have a primary die at each step of a write, in each way, and hand over by plan; print what came out.
+    Primary {
+        /// Only cases whose names hold this.
+        #[arg(long, default_value = "")]
+        only: String,
+        /// Cases that run at the same time.
+        #[arg(long, default_value_t = 4)]
+        side_by_side: usize,
+        /// How often each case is played.
+        #[arg(long, default_value_t = 1)]
+        times: usize,
+    },
+    /// A registry, boxes, a pooler and clients on loopback, to look at.
+    Demo {
+        /// Ends after so many seconds; 0 is for ever.
+        #[arg(long, default_value_t = 0)]
+        seconds: u64,
+    },
 }
 
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
         Command::Eureka { script, only, seed, side_by_side } => eureka(script, &only, seed, side_by_side),
+        Command::Primary { only, side_by_side, times } => primary(&only, side_by_side, times),
         Command::EurekaBench { sizes } => bench(&sizes),
+        Command::Demo { seconds } => {
+            linnetdeal_lab::demo::run(&program(), seconds).map(|()| true).map_err(Failure::from)
+        }
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
@@ -65,6 +87,94 @@
     Ok(true)
 }
 
+/// What becomes of each of these, so many at a time.
+fn side_by_side_of<T: Sync, R: Send>(of: &[T], at_once: usize, work: impl Fn(&T) -> R + Sync) -> Vec<R> {
+    let queue = Mutex::new(of.iter().enumerate());
+    let done = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..at_once.max(1) {
+            scope.spawn(|| {
+                loop {
+                    let Some((at, one)) = linnetdeal_lab::lock(&queue).next() else { return };
+                    let result = work(one);
+                    linnetdeal_lab::lock(&done).push((at, result));
+                }
+            });
+        }
+    });
+    let mut done = done.into_inner().unwrap_or_default();
+    done.sort_by_key(|(at, _)| *at);
+    done.into_iter().map(|(_, result)| result).collect()
+}
+
+fn primary(only: &str, side_by_side: usize, times: usize) -> Result<bool, Failure> {
+    use linnetdeal_lab::family::{Step, Way};
+    use linnetdeal_lab::primary::{Case, play, quantile};
+    let ways = |step| Way::ALL.map(|way| Case::Dies(step, way));
+    let cases: Vec<Case> = Step::ALL.into_iter().flat_map(ways).chain([Case::Planned; 3]).collect();
+    let cases: Vec<Case> = cases.iter().copied().filter(|case| case.to_string().contains(only)).collect();
+    let cases = cases.repeat(times);
+    let program = program();
+    let outcomes = side_by_side_of(&cases, side_by_side, |case| play(*case, &program));
+    let mut sums = [0; 8];
+    let (mut between, mut handovers, mut added) = ((0, 0), Vec::new(), Vec::new());
+    let (mut planned_errors, mut never) = (0, 0);
+    for (case, outcome) in cases.iter().zip(outcomes) {
+        let one = outcome?;
+        let mut words: Vec<String> =
+            one.answers.iter().map(|(how, count)| format!("{how} {count}")).collect();
+        let log = words.iter().position(|words| words.starts_with("log: ")).map(|at| words.remove(at));
+        println!(
+            "{:<24} top-ups {:>5}  doubled {}  served without row {}  refused with row {}  unanswered {}  late {}  between {}/{}  handover {:>5} ms  {}{}",
+            case.to_string(),
+            one.top_ups,
+            one.doubled,
+            one.served_without_row,
+            one.refused_with_row,
+            one.unanswered,
+            one.late,
+            one.between.0,
+            one.between.1,
+            one.handover.unwrap_or_default().as_millis(),
+            words.join(", "),
+            if one.happened { "" } else { "  DID NOT HAPPEN" }
+        );
+        if let Some(log) = log.filter(|_| !only.is_empty()) {
+            println!("    {log}");
+        }
+        never += usize::from(!one.happened);
+        let counts = [
+            one.top_ups,
+            one.doubled,
+            one.served_without_row,
+            one.refused_with_row,
+            one.unanswered,
+            one.late,
+            one.failed,
+        ];
+        sums.iter_mut().zip(counts).for_each(|(sum, count)| *sum += count);
+        if *case == Case::Planned {
+            planned_errors += one.top_ups - one.answers.get("served").copied().unwrap_or(0);
+            added.extend(one.during.iter().map(|took| took.saturating_sub(quantile(&one.before, 0.5))));
+        } else {
+            between = (between.0 + one.between.0, between.1 + one.between.1);
+            handovers.extend(one.handover);
+        }
+    }
+    let share = between.0 as f64 / f64::max(between.1 as f64, 1.0);
+    let [top_ups, doubled, without, refused, unanswered, late, failed, _] = sums;
+    println!(
+        "{}",
+        json!({"cases": cases.len(), "did_not_happen": never, "top_ups": top_ups, "rows_doubled": doubled,
+            "rows_lost": without, "unanswered": unanswered, "answered_late": late, "served_without_row": without,
+            "refused_with_row": refused, "failed": failed, "planned_errors": planned_errors,
+            "planned_added_p99_ms": quantile(&added, 0.99).as_millis() as u64,
+            "handover_p99_ms": quantile(&handovers, 0.99).as_millis() as u64,
+            "unplanned_served_share": (share * 10_000.0).round() / 10_000.0})
+    );
+    Ok(doubled + without + refused + unanswered + late + never == 0)
+}
+
 /// Whether all came out as it should.
 fn eureka(script: Option<PathBuf>, only: &str, seed: u64, side_by_side: usize) -> Result<bool, Failure> {
     let mut scripts = match script {
@@ -73,25 +183,11 @@
     };
     scripts.retain(|script| script.name.contains(only));
     let program = program();
-    let queue = Mutex::new(scripts.iter().enumerate());
-    let outcomes: Mutex<Vec<(usize, std::io::Result<Outcome>)>> = Mutex::default();
-    std::thread::scope(|scope| {
-        for _ in 0..side_by_side.max(1) {
-            scope.spawn(|| {
-                loop {
-                    let Some((at, script)) = linnetdeal_lab::lock(&queue).next() else { return };
-                    let outcome = play(script, &program, seed);
-                    linnetdeal_lab::lock(&outcomes).push((at, outcome));
-                }
-            });
-        }
-    });
-    let mut outcomes = outcomes.into_inner().unwrap_or_default();
-    outcomes.sort_by_key(|(at, _)| *at);
+    let outcomes = side_by_side_of(&scripts, side_by_side, |script| play(script, &program, seed));
     let mut whole = linnetdeal_lab::ledger::Verdict::default();
     let (mut well, mut missed, mut shares) = (true, 0, std::collections::BTreeMap::new());
-    for (at, outcome) in outcomes {
-        let name = &scripts[at].name;
+    for (script, outcome) in scripts.iter().zip(outcomes) {
+        let name = &script.name;
         match outcome {
             Err(error) => {
                 well = false;
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -59,6 +59,7 @@
         for at in 1..=boxes {
             stage.come(&format!("s-{at}"), at == 1)?;
         }
+        stage.world.begin();
         Ok(stage)
     }
 
--- /dev/null
+++ b/crates/lab/src/primary.rs
@@ -0,0 +1,229 @@
+//! Changes of primary: a primary that dies at each step of a write, in each way, or hands over by plan; writers that keep
+//! every answer; and the family's rows held against these.
+
+use crate::clients::Client;
+use crate::eureka::{Peer, Registered, World};
+use crate::family::{Family, Step, Way};
+use crate::ledger::Ledger;
+use crate::lock;
+use crate::pooler::Pooler;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// How long writers wait.
+pub const DEADLINE: Duration = Duration::from_secs(5);
+/// A replica takes over this long after its primary died; planned, this long after it began to drain.
+pub const TAKEOVER: Duration = Duration::from_millis(1_200);
+/// See [`TAKEOVER`].
+pub const PLANNED: Duration = Duration::from_millis(400);
+const WARM: Duration = Duration::from_millis(500);
+const AFTER: Duration = Duration::from_millis(1_300);
+const WRITERS: usize = 6;
+const TOP_UP: usize = 4;
+
+/// A case.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Case {
+    /// The primary dies.
+    Dies(Step, Way),
+    /// The primary hands over.
+    Planned,
+}
+
+impl std::fmt::Display for Case {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Dies(step, way) => write!(f, "{step:?} {way:?}"),
+            Self::Planned => write!(f, "Planned"),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Answer {
+    id: String,
+    asked: Instant,
+    took: Duration,
+    how: String,
+}
+
+/// What came out of a case.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// Whether the primary died where it should.
+    pub happened: bool,
+    /// Writes asked.
+    pub top_ups: usize,
+    /// Rows that ran twice.
+    pub doubled: usize,
+    /// Served, and no replica has the row.
+    pub served_without_row: usize,
+    /// Refused, and there is a row.
+    pub refused_with_row: usize,
+    /// Without a final answer.
+    pub unanswered: usize,
+    /// Answered after the client had given up.
+    pub late: usize,
+    /// Failed: nothing is promised.
+    pub failed: usize,
+    /// Of those asked while there was no primary, the served and all.
+    pub between: (usize, usize),
+    /// From the new primary to the first write that is served.
+    pub handover: Option<Duration>,
+    /// How long writes took that were asked during a planned change, and before.
+    pub during: Vec<Duration>,
+    /// See `during`.
+    pub before: Vec<Duration>,
+    /// By answer.
+    pub answers: BTreeMap<String, usize>,
+}
+
+struct Writers {
+    stop: Arc<AtomicBool>,
+    answers: Arc<Mutex<Vec<Answer>>>,
+    threads: Vec<JoinHandle<()>>,
+    address: SocketAddr,
+    ledger: Arc<Mutex<Ledger>>,
+}
+
+impl Writers {
+    fn more(&mut self, count: usize) {
+        for _ in 0..count {
+            let at = self.threads.len();
+            let (stop, answers, ledger) = (self.stop.clone(), self.answers.clone(), self.ledger.clone());
+            let address = self.address;
+            self.threads.push(std::thread::spawn(move || {
+                let mut client = Client::new(address, at, 1).within(DEADLINE);
+                while !stop.load(Ordering::SeqCst) {
+                    let asked = Instant::now();
+                    let how = client.ask_for(TOP_UP, &ledger);
+                    let answer = Answer { id: client.last_id(), asked, took: asked.elapsed(), how };
+                    lock(&answers).push(answer);
+                    std::thread::sleep(Duration::from_millis(3));
+                }
+            }));
+        }
+    }
+
+    fn end(self) -> Vec<Answer> {
+        self.stop.store(true, Ordering::SeqCst);
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+        lock(&self.answers).clone()
+    }
+}
+
+/// Plays a case with the program at `program`.
+///
+/// # Errors
+///
+/// When it can't be played.
+pub fn play(case: Case, program: &Path) -> io::Result<Outcome> {
+    let family = Family::start(4, IpAddr::V4(Ipv4Addr::new(127, 10, 0, 1)))?;
+    let (world, ledger) = (World::default(), Arc::<Mutex<Ledger>>::default());
+    for (at, address) in family.addresses.iter().enumerate() {
+        let role = if at == 0 { "primary" } else { "replica" };
+        let metadata = [("group", "2"), ("role", role), ("zone", "adum")];
+        world.register(Registered {
+            app: "DB".into(),
+            id: format!("s-{}", at + 1),
+            ip: address.ip().to_string(),
+            port: address.port(),
+            status: "UP".into(),
+            overridden: "UNKNOWN".into(),
+            dirty: world.stamp(),
+            metadata: metadata.map(|(key, value)| (key.to_owned(), value.to_owned())).into(),
+            ..Registered::default()
+        });
+    }
+    let peer = Peer::start(&world, &ledger, SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    let operator = format!(
+        "registry: {{\n\tservers: [{{url: \"http://{}/eureka\"}}]\n\tapps: [\"DB\"]\n\tnetworks: [{{prefix: \"127.10.0.0/16\"}}]\n\
+         \tinterval: \"100ms\"\n}}\n",
+        peer.address
+    );
+    let none = json!({"generation": 0, "reset": true, "instances": []});
+    let mut pooler = Pooler::start(program, Some(&operator), &none)?;
+    pooler.logged("instances read")?;
+    let mut writers = Writers {
+        stop: Arc::default(),
+        answers: Arc::default(),
+        threads: Vec::new(),
+        address: pooler.address,
+        ledger: ledger.clone(),
+    };
+    writers.more(WRITERS);
+    std::thread::sleep(WARM);
+
+    let (began, wait) = match case {
+        Case::Planned => {
+            family.drain();
+            world.alter("s-1", true, |one| one.status = "OUT_OF_SERVICE".into());
+            (Some(Instant::now()), PLANNED)
+        }
+        Case::Dies(step, way) => {
+            family.arm(step, way);
+            // More at once than there are connections, so that one has to be opened.
+            writers.more(WRITERS);
+            let end = Instant::now() + Duration::from_secs(3);
+            while family.died().is_none() && Instant::now() < end {
+                std::thread::sleep(Duration::from_millis(1));
+            }
+            (family.died(), TAKEOVER)
+        }
+    };
+    let mut outcome = Outcome { happened: began.is_some(), ..Outcome::default() };
+    let began = began.unwrap_or_else(Instant::now);
+    std::thread::sleep((began + wait).saturating_duration_since(Instant::now()));
+    family.promote(1);
+    let promoted = Instant::now();
+    std::thread::sleep(AFTER);
+    let answers = writers.end();
+
+    let rows = family.rows();
+    outcome.top_ups = answers.len();
+    outcome.doubled = family.doubled();
+    for answer in &answers {
+        *outcome.answers.entry(answer.how.clone()).or_default() += 1;
+        let (served, row) = (answer.how == "served", rows.contains_key(&answer.id));
+        outcome.served_without_row += usize::from(served && !row);
+        outcome.refused_with_row += usize::from(answer.how == "refused" && row);
+        outcome.failed += usize::from(answer.how.starts_with("failed"));
+        outcome.unanswered += usize::from(answer.how.starts_with("broken"));
+        outcome.late += usize::from(answer.took > DEADLINE + Duration::from_millis(50));
+        let ended = answer.asked + answer.took;
+        if answer.asked > began && answer.asked < promoted {
+            outcome.between.0 += usize::from(served);
+            outcome.between.1 += 1;
+            outcome.during.push(answer.took);
+        }
+        if ended < began {
+            outcome.before.push(answer.took);
+        }
+        if served && ended > promoted {
+            let after = ended - promoted;
+            outcome.handover = Some(outcome.handover.map_or(after, |best| best.min(after)));
+        }
+    }
+    if outcome.between.0 < outcome.between.1 {
+        outcome.answers.insert(format!("log: {}", pooler.log().join(" | ")), 0);
+    }
+    Ok(outcome)
+}
+
+/// The value below which this share of them lies.
+#[must_use]
+pub fn quantile(values: &[Duration], share: f64) -> Duration {
+    let mut sorted = values.to_vec();
+    sorted.sort();
+    let at = ((sorted.len() as f64 * share).ceil() as usize).clamp(1, sorted.len().max(1)) - 1;
+    sorted.get(at).copied().unwrap_or_default()
+}
--- a/crates/registry/src/client.rs
+++ b/crates/registry/src/client.rs
@@ -4,7 +4,7 @@
 use async_io::{Async, Timer};
 use base64::Engine;
 use flate2::write::GzDecoder;
-use futures_lite::future::or;
+use futures_lite::future::{or, poll_once};
 use futures_rustls::TlsConnector;
 use futures_rustls::rustls::{ClientConfig, RootCertStore};
 use http_body_util::{BodyExt, Full};
@@ -215,22 +215,26 @@
         };
         let kept = self.kept.take().filter(|(of, connection)| of == server && !connection.send.is_closed());
         let work = async {
-            let mut connection = match kept {
-                Some((_, connection)) if alive(&connection).await => connection,
-                _ => {
-                    self.connects += 1;
-                    connect(self.tls.as_ref(), server).await?
+            if let Some((_, mut connection)) = kept {
+                // One that the server closed while it was idle shows that once it is looked at, or by the first byte.
+                if poll_once(connection.driver.as_mut()).await.is_none() {
+                    let mut began = false;
+                    let mut noted = |chunk: Chunk<'_>| {
+                        began = true;
+                        take(chunk)
+                    };
+                    let request = request(server, &call, self.authorization.as_ref());
+                    match connection.exchange(request, &mut noted).await {
+                        Ok(()) => return Ok(connection),
+                        Err(CallError::Http(_)) if !began => {}
+                        Err(error) => return Err(error),
+                    }
                 }
-            };
-            let Connection { send, driver } = &mut connection;
-            let request = request(server, call, self.authorization.as_ref());
-            let exchange = exchange(send, request, take);
-            // The driver moves the bytes; should it end first, the exchange learns why.
-            let moved = async {
-                driver.as_mut().await;
-                std::future::pending().await
-            };
-            or(exchange, moved).await?;
+            }
+            self.connects += 1;
+            let mut connection = connect(self.tls.as_ref(), server).await?;
+            let request = request(server, &call, self.authorization.as_ref());
+            connection.exchange(request, take).await?;
             Ok(connection)
         };
         let connection = or(work, late).await?;
@@ -248,15 +252,27 @@
     Data(&'a [u8]),
 }
 
-/// Whether a kept connection can carry a call. A server that closed it meanwhile shows only once it is looked at.
-async fn alive(connection: &Connection) -> bool {
-    connection.send.is_ready()
+impl Connection {
+    /// Sends a request and hands its answer's body on.
+    async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        take: &mut dyn FnMut(Chunk<'_>) -> Result<(), String>,
+    ) -> Result<(), CallError> {
+        let Self { send, driver } = self;
+        // The driver moves the bytes; should it end first, the exchange learns why.
+        let moved = async {
+            driver.as_mut().await;
+            std::future::pending().await
+        };
+        or(exchange(send, request, take), moved).await
+    }
 }
 
-fn request(server: &Server, call: Call<'_>, authorization: Option<&HeaderValue>) -> Request<Full<Bytes>> {
+fn request(server: &Server, call: &Call<'_>, authorization: Option<&HeaderValue>) -> Request<Full<Bytes>> {
     let json = call.body.is_some();
-    let mut request = Request::new(Full::new(Bytes::from(call.body.unwrap_or_default())));
-    *request.method_mut() = call.method;
+    let mut request = Request::new(Full::new(Bytes::from(call.body.clone().unwrap_or_default())));
+    *request.method_mut() = call.method.clone();
     // The path was checked when the server's URL was; what goes behind it is made here.
     *request.uri_mut() = format!("{}{}", server.path, call.path).parse().unwrap_or_default();
     let headers = request.headers_mut();
