The search for a primary asks the likely heirs often, and writes outlast an untold drain

Change: core's handover module, free of I/O, asks after one round of all only those whose position no other exceeds, every 100 ms, and the others in rounds as before; a member that turns writes away rests longer each time.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -7,6 +7,7 @@
 //! one's load is over the threshold do the next `FORWARD` in sorted order get a look, else the first pick
 //! serves. A write goes to the marked primary, walks on proof that nothing ran, and is then held.
 
+use crate::handover::Candidate;
 use crate::interface::*;
 use crate::state::*;
 use rand_chacha::ChaCha8Rng;
@@ -20,11 +21,6 @@
 /// How often held requests are looked over, and how late a wake tells of an own stall, not of members.
 const SWEEP: Span = Span::millis(10);
 const STALL: Span = Span::millis(60);
-/// The search for a primary asks again after `SEEK`, then `SEEK_GROWS` as long each time, up to the longest:
-/// ten rounds a second from each of 500 routers cost 0.15 of G.
-const SEEK: Span = Span::millis(100);
-const SEEK_GROWS: f64 = 1.6;
-const LONGEST_SEEK: Span = Span::millis(1_000);
 /// How long a refused read, or a reading of a lag, is held against a member that checks its reads; and after
 /// how long a report that is as old as what is known counts as a new reading.
 const LAG_MEMORY: Span = Span::millis(1_000);
@@ -662,6 +658,7 @@
                 }
                 self.served.add(now, MEMORY, [0.0, 1.0]);
                 m.ill *= HEALING;
+                m.refusals = 0;
                 m.ejections = m.ejections.saturating_sub(1);
                 m.ejected = NEVER;
                 m.reached = m.reached.max(now - took);
@@ -683,10 +680,16 @@
                 m.strike(now, NO_CONNECTION);
                 m.limit = LEAST_LIMIT;
             }
-            // Full, or draining: let it rest for as long as an answer takes, or the whole group is hammered.
+            // Full, or draining: let it rest for as long as an answer takes, or the whole group is hammered. What a
+            // write was refused is asked less and less often: it may drain, which the list tells late, and all of
+            // the write's attempts would be spent by then.
             Verdict::Full => {
                 m.crowded(now, took, work);
-                m.rested = now + pace.map_or(SWEEP, |pace| pace.takes(0.0).max(SWEEP));
+                let write = out.is_some_and(|out| self.settings.classes[out.class].need == Need::Write);
+                m.refusals = if write { (m.refusals + 1).min(MOST_DOUBLINGS) } else { m.refusals };
+                let rest = pace.map_or(SWEEP, |pace| pace.takes(0.0).max(SWEEP));
+                let longer = if write { f64::from(1 << (m.refusals - 1)) } else { 1.0 };
+                m.rested = now + rest.times(longer).min(EJECTION).max(rest);
             }
             Verdict::Miss => {
                 m.behind = out.and_then(|out| out.need).map(|need| (need, now)).or(m.behind);
@@ -807,12 +810,21 @@
 
     /// Looks for a group's primary: asks all members, less and less often while none shows.
     fn seek(&mut self, now: Time, gid: GroupId, actions: &mut Vec<Action>) {
-        let Some(group) = self.groups.get_mut(&gid).filter(|group| now >= group.seek_at) else { return };
-        let anew = now - group.seek_at > LONGEST_SEEK;
-        let wait = if anew { SEEK } else { group.seek_wait.max(SEEK) };
-        (group.seek_at, group.seek_wait) = (now + wait, wait.times(SEEK_GROWS).min(LONGEST_SEEK));
-        let ids: Vec<MemberId> = group.members.iter().cloned().collect();
-        self.probe(now, &ids, SEEK, actions);
+        let Some(group) = self.groups.get(&gid) else { return };
+        let known = group.members.iter().map(|id| (id, &self.members[id]));
+        let candidates: Vec<_> = known
+            .filter(|(_, m)| self.sendable(m))
+            .map(|(member, m)| Candidate {
+                member,
+                position: m.position,
+                asked: m.probed,
+                before: m.role() == PRIMARY,
+            })
+            .collect();
+        let mut seek = group.seek;
+        let ids = seek.ask(now, self.settings.fleet, &candidates);
+        self.groups.entry(gid).and_modify(|group| group.seek = seek);
+        self.probe(now, &ids, Span(1), actions);
     }
 
     fn probe(&mut self, now: Time, ids: &[MemberId], every: Span, actions: &mut Vec<Action>) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 struct Readme;
 
 mod choice;
+pub mod handover;
 mod interface;
 pub mod membership;
 pub mod settings;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,5 +1,6 @@
 //! The plain state that the decisions (`choice.rs`) keep. No decision and no tuned value stands here.
 
+use crate::handover::Seek;
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -51,6 +52,8 @@
     pub(crate) limit: f64,
     pub(crate) cut: Time,
     pub(crate) rested: Time,
+    /// Writes that it turned away in a row.
+    pub(crate) refusals: u32,
 }
 
 #[derive(Default)]
@@ -59,8 +62,7 @@
     pub(crate) mark: Option<MemberId>,
     /// The walk found no primary; writes wait until one is shown.
     pub(crate) lost: bool,
-    pub(crate) seek_at: Time,
-    pub(crate) seek_wait: Span,
+    pub(crate) seek: Seek,
     pub(crate) held: BTreeSet<(Time, RequestId)>,
     /// Of its replicas and of its primary: slow answers, and all.
     pub(crate) crowd: [Counts; 2],
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -417,6 +417,26 @@
     assert!(to_bad <= 12, "{to_bad} of 60 reads went to the failing member");
 }
 
+#[test]
+fn a_write_outlasts_a_primary_that_drains_before_anybody_tells() {
+    // It turns all away for a second and a half; the list tells of the drain only then.
+    let mut host = with_primary(settings());
+    let (id, actions) = host.ask_within(UNSAFE, 5_000);
+    assert_eq!(sends(&actions), [member(1)]);
+    let (mut attempts, mut out) = (1, true);
+    for _ in 0..150 {
+        if out {
+            let actions = host.end(id, attempts - 1, 1, Verdict::Full);
+            assert!(refused(&actions, id).is_none() && !failed(&actions, id), "given up after {attempts}");
+        }
+        let sent = sends(&host.pass(10));
+        assert!(sent.iter().all(|to| *to == member(1)), "nobody else is the primary");
+        out = !sent.is_empty();
+        attempts += sent.len() as u32;
+    }
+    assert!((4..8).contains(&attempts), "{attempts} of 8 attempts");
+}
+
 #[test]
 fn who_is_forgotten_leaves_nothing_behind_and_may_come_back() {
     let mut host = with_primary(settings());
--- a/crates/lab/src/boxes.rs
+++ b/crates/lab/src/boxes.rs
@@ -94,9 +94,12 @@
         self.down.store(down, Ordering::SeqCst);
     }
 
-    fn position(&self) -> i64 {
-        let lag = if self.primary.load(Ordering::SeqCst) { 0 } else { self.lag_ms.load(Ordering::SeqCst) };
-        let reached = Log::now() - lag;
+    fn position(&self, log: &Log) -> i64 {
+        // A primary has all that it has committed, two commits in one millisecond included.
+        if self.primary.load(Ordering::SeqCst) {
+            return Log::now().max(log.last.load(Ordering::SeqCst));
+        }
+        let reached = Log::now() - self.lag_ms.load(Ordering::SeqCst);
         // A position never goes back: who falls behind stands still first.
         reached.max(self.reached.fetch_max(reached, Ordering::SeqCst))
     }
@@ -164,8 +167,8 @@
             return;
         }
         if statement.starts_with("SHOW") {
-            let (seconds, role) = (self.position() as f64 / 1_000.0, u8::from(primary));
-            say::row(out, format!("x0={seconds:.3},x1={role}").as_bytes(), primary, self.position());
+            let (seconds, role) = (self.position(log) as f64 / 1_000.0, u8::from(primary));
+            say::row(out, format!("x0={seconds:.3},x1={role}").as_bytes(), primary, self.position(log));
             write::ready(out);
             return;
         }
@@ -174,7 +177,7 @@
         if statement.starts_with("INSERT") {
             if !primary {
                 write::error(out, write::Severity::Error, "25006", "read only", None);
-                say::notes(out, primary, self.position());
+                say::notes(out, primary, self.position(log));
                 write::ready(out);
                 return;
             }
@@ -186,7 +189,7 @@
             return;
         }
         // What a read sees is what the box has when the read begins.
-        let position = self.position();
+        let position = self.position(log);
         std::thread::sleep(work);
         say::row(out, format!("{id} {position}").as_bytes(), primary, position);
         write::ready(out);
