--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -104,6 +104,7 @@
 const LOG_EVERY: Span = Span::millis(1_000);
 
 /// The decisions of one router.
+#[derive(Clone, Debug)]
 pub struct Router {
     settings: Settings,
     rng: ChaCha8Rng,
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -11,6 +11,7 @@
 pub(crate) const NEVER: Time = Time(i64::MIN / 4);
 
 /// An attempt that is out, as its member's load sees it.
+#[derive(Clone, Debug)]
 pub(crate) struct Out {
     pub(crate) sent: Time,
     pub(crate) class: usize,
@@ -18,7 +19,7 @@
     pub(crate) need: Option<Time>,
 }
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Member {
     pub(crate) group: GroupId,
     pub(crate) state: ListState,
@@ -56,7 +57,7 @@
     pub(crate) refusals: u32,
 }
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Group {
     pub(crate) members: BTreeSet<MemberId>,
     pub(crate) mark: Option<MemberId>,
@@ -76,6 +77,7 @@
     }
 }
 
+#[derive(Clone, Debug)]
 pub(crate) struct Attempt {
     pub(crate) member: MemberId,
     pub(crate) open: bool,
@@ -83,6 +85,7 @@
 }
 
 /// A request that is owed its final answer.
+#[derive(Clone, Debug)]
 pub(crate) struct Open {
     pub(crate) class: usize,
     pub(crate) tenant: Option<usize>,
@@ -101,7 +104,7 @@
 }
 
 /// The usual latency of a class, in microseconds.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct Pace {
     pub(crate) mean: f64,
     pub(crate) dev: f64,
@@ -109,7 +112,7 @@
 }
 
 /// A part and the whole it is of, over the late past.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct Counts {
     pub(crate) sums: [f64; 2],
     pub(crate) at: Time,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod eureka;
 pub mod family;
 pub mod ledger;
+pub mod model;
 pub mod play;
 pub mod pooler;
 pub mod primary;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! The lab's command line.
 
 use clap::{Parser, Subcommand};
+use linnetdeal_lab::model::{Bounds, check};
 use linnetdeal_lab::play::{Outcome, play, program};
 use linnetdeal_lab::script::Script;
 use serde_json::json;
@@ -51,6 +52,21 @@
         #[arg(long, default_value_t = 1)]
         times: usize,
     },
+    /// Check the decisions through all orders of a change of primary, within bounds.
+    Model {
+        /// Routers.
+        #[arg(long, default_value_t = 2)]
+        routers: usize,
+        /// Writes asked of each.
+        #[arg(long, default_value_t = 1)]
+        writes: usize,
+        /// Answers lost beside those that a death loses.
+        #[arg(long, default_value_t = 1)]
+        losses: u8,
+        /// Routers that crash.
+        #[arg(long, default_value_t = 1)]
+        crashes: u8,
+    },
     /// A registry, boxes, a pooler and clients on loopback, to look at.
     Demo {
         /// Ends after so many seconds; 0 is for ever.
@@ -63,6 +79,16 @@
     let done = match Cli::parse().command {
         Command::Eureka { script, only, seed, side_by_side } => eureka(script, &only, seed, side_by_side),
         Command::Primary { only, side_by_side, times } => primary(&only, side_by_side, times),
+        Command::Model { routers, writes, losses, crashes } => {
+            let bounds = Bounds { routers, writes, losses, crashes, drains: true, wrong_reset: false };
+            let found = check(bounds, 4);
+            println!(
+                "{}",
+                json!({"states_checked": found.states, "outlasted": found.outlasted,
+                "wrong": found.wrong.as_ref().map(|(words, steps)| format!("{words}: {steps:?}"))})
+            );
+            Ok(found.wrong.is_none())
+        }
         Command::EurekaBench { sizes } => bench(&sizes),
         Command::Demo { seconds } => {
             linnetdeal_lab::demo::run(&program(), seconds).map(|()| true).map_err(Failure::from)
@@ -162,6 +188,14 @@
         }
     }
     let share = between.0 as f64 / f64::max(between.1 as f64, 1.0);
+    // The same decisions through all orders in which a change can fall, and once with a fault that must be found.
+    let bounds = Bounds { routers: 2, writes: 1, losses: 1, crashes: 1, drains: true, wrong_reset: false };
+    let found = check(bounds, 4);
+    let seeded = check(Bounds { routers: 1, wrong_reset: true, ..bounds }, 4);
+    if let Some((words, steps)) = &found.wrong {
+        println!("model: {words}: {steps:?}");
+    }
+    let model = found.wrong.is_none() && seeded.wrong.is_some();
     let [top_ups, doubled, without, refused, unanswered, late, failed, _] = sums;
     println!(
         "{}",
@@ -170,9 +204,11 @@
             "refused_with_row": refused, "failed": failed, "planned_errors": planned_errors,
             "planned_added_p99_ms": quantile(&added, 0.99).as_millis() as u64,
             "handover_p99_ms": quantile(&handovers, 0.99).as_millis() as u64,
-            "unplanned_served_share": (share * 10_000.0).round() / 10_000.0})
+            "unplanned_served_share": (share * 10_000.0).round() / 10_000.0,
+            "states_checked": found.states, "model_violations": u8::from(found.wrong.is_some()),
+            "seeded_fault_found": seeded.wrong.is_some()})
     );
-    Ok(doubled + without + refused + unanswered + late + never == 0)
+    Ok(model && doubled + without + refused + unanswered + late + never == 0)
 }
 
 /// Whether all came out as it should.
