--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -596,8 +596,8 @@
         (m.role() == PRIMARY && self.sendable(m) && !self.suspect(m, now)).then_some(mark)
     }
 
-    /// A marked primary that fell silent, with nothing else out there. One fresh read at a time tries it: if only
-    /// some connections are silent, nothing else would show it before they end.
+    /// A marked primary that fell silent, with nothing else out there. One fresh read at a time tries it: if
+    /// only some connections are silent, nothing else would show it before they end.
     fn on_trial(&self, now: Time, gid: GroupId) -> Option<&MemberId> {
         let mark = self.groups.get(&gid)?.mark.as_ref()?;
         let m = &self.members[mark];
@@ -681,9 +681,9 @@
                 m.strike(now, NO_CONNECTION);
                 m.limit = LEAST_LIMIT;
             }
-            // Full, or draining: let it rest for as long as an answer takes, or the whole group is hammered. What a
-            // write was refused is asked less and less often: it may drain, which the list tells late, and all of
-            // the write's attempts would be spent by then.
+            // Full, or draining: let it rest for as long as an answer takes, or the whole group is hammered.
+            // Who turns writes away is asked less and less often: it may drain, which the list tells late,
+            // and all of a write's attempts would be spent by then.
             Verdict::Full => {
                 m.crowded(now, took, work);
                 let write = out.is_some_and(|out| self.settings.classes[out.class].need == Need::Write);
@@ -742,8 +742,8 @@
         now - out.sent > self.pace[out.class].takes(OVERDUE).times(SILENCE)
     }
 
-    /// Whether it is, and either what was sent later has been answered, so that its connection alone is silent,
-    /// or nothing has been since. Else it may be waiting its turn.
+    /// Whether it is, and either what was sent later has been answered, so that its connection alone is
+    /// silent, or nothing has been since. Else it may be waiting its turn.
     fn lost(&self, m: &Member, out: &Out, now: Time) -> bool {
         self.overdue(out, now) && (out.sent < m.reached || out.sent > m.heard)
     }
