Bodies of a registry are bounded in memory whatever stands in them

Cause: a delta was held as whole instances until its end, and 200,000 of the smallest kind that a body can hold would have taken more than the daemon has. Two names could make a URL that can't be called, and '/' was called in its place. Change: of a delta 16 bytes an instance are held, 50,000 instances at most; the virtual address is a word by the schema, and an id made from the pooler's name fits a URL.

--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -25,6 +25,12 @@
     Span(i64::try_from(duration.as_micros()).unwrap_or(i64::MAX))
 }
 
+/// An id that can stand in a URL, whatever the platform calls this pooler.
+fn plain(id: &str) -> String {
+    let fits = |letter: &char| letter.is_ascii_alphanumeric() || "._:-".contains(*letter);
+    id.chars().take(128).map(|letter| if fits(&letter) { letter } else { '-' }).collect()
+}
+
 /// What the follower needs, from what the operator wants.
 ///
 /// # Errors
@@ -41,7 +47,7 @@
     }
     let own = settings.register.as_ref().zip(own).map(|(register, (name, address))| Own {
         app: register.app.clone(),
-        id: register.id.clone().unwrap_or_else(|| format!("{name}:{address}")),
+        id: register.id.clone().unwrap_or_else(|| plain(&format!("{name}:{address}"))),
         address,
         renew: span(register.renew),
         expires: span(register.expires),
--- a/crates/operator/src/schema.cue
+++ b/crates/operator/src/schema.cue
@@ -53,7 +53,7 @@
 	// What is asked for: 'delta' follows changes, 'full' reads all each time, 'app' and 'vip' read what is named there.
 	read: *"delta" | "full" | "app" | "vip"
 	// The virtual address, where 'vip' is read.
-	vip: string | *""
+	vip: #Word | *""
 	// How often.
 	interval: #Duration | *"30s"
 	// A call may take so long, and the longest pause while all servers fail.
--- a/crates/registry/src/eureka/mirror.rs
+++ b/crates/registry/src/eureka/mirror.rs
@@ -15,15 +15,35 @@
     keys: RandomState,
 }
 
+/// An instance as far as a mirror needs it: 16 bytes, so that a delta of many is held cheaply until its end.
+#[derive(Clone, Copy, Debug)]
+pub struct Noted {
+    key: u64,
+    /// `None` for one that is gone.
+    status: Option<Status>,
+}
+
 impl Mirror {
-    /// Takes an instance in as a body names it. The cost does not depend on how many there are.
-    pub fn take(&mut self, instance: &Instance) {
+    /// One of nothing, that notes instances as this one does.
+    #[must_use]
+    pub fn empty(&self) -> Self {
+        Self { keys: self.keys.clone(), ..Self::default() }
+    }
+
+    /// Notes an instance as a body names it.
+    #[must_use]
+    pub fn note(&self, instance: &Instance) -> Noted {
         let key = self.keys.hash_one((instance.app.to_ascii_uppercase(), &instance.id));
-        let before = match instance.action {
-            ActionType::Deleted => self.statuses.remove(&key),
-            ActionType::Added | ActionType::Modified => {
-                self.counts[place(instance.status)] += 1;
-                self.statuses.insert(key, instance.status)
+        Noted { key, status: Some(instance.status).filter(|_| instance.action != ActionType::Deleted) }
+    }
+
+    /// Takes in what was noted. The cost does not depend on how many there are.
+    pub fn take(&mut self, Noted { key, status }: Noted) {
+        let before = match status {
+            None => self.statuses.remove(&key),
+            Some(status) => {
+                self.counts[place(status)] += 1;
+                self.statuses.insert(key, status)
             }
         };
         if let Some(status) = before {
--- a/crates/registry/src/eureka/reading.rs
+++ b/crates/registry/src/eureka/reading.rs
@@ -2,15 +2,15 @@
 
 use super::body::{Body, BodyError, Format, Piece};
 use super::mapping::{Mapping, Refused};
-use super::mirror::Mirror;
+use super::mirror::{Mirror, Noted};
 use super::model::{Instance, ModelError};
 use super::poller::Ask;
 use linnetdeal_core::ListState;
 use linnetdeal_core::membership::{Claim, Evidence, News};
 use std::sync::Arc;
 
-/// No more instances than this are taken from one body.
-const MOST_INSTANCES: usize = 200_000;
+/// No more instances than this are taken from one body, so that the smallest ones a body can hold don't fill the memory.
+const MOST_INSTANCES: usize = 50_000;
 /// Of those that could not be taken, so many are named.
 const MOST_NAMED: usize = 8;
 
@@ -44,9 +44,9 @@
     server: usize,
     format: Format,
     whole: bool,
-    /// Of a whole list, what it holds; of a delta, its instances are kept until its end.
+    /// Of a whole list, what it holds; what a delta changes is noted until its end.
     mirror: Mirror,
-    changes: Vec<Instance>,
+    changes: Vec<Noted>,
     claims: Vec<Claim>,
     view: i64,
     read: Counts,
@@ -63,15 +63,23 @@
 }
 
 impl<'m> Reading<'m> {
-    /// The reading of an answer to `ask` by the server of this number, of at most `most` bytes.
+    /// The reading of an answer to `ask` by the server of this number, of at most `most` bytes. `mirror` is an empty one
+    /// of the kind that it will be brought into.
     #[must_use]
-    pub fn new(mapping: &'m Mapping, server: usize, ask: Ask, format: Format, most: u64) -> Self {
+    pub fn new(
+        mapping: &'m Mapping,
+        mirror: Mirror,
+        server: usize,
+        ask: Ask,
+        format: Format,
+        most: u64,
+    ) -> Self {
         let taken = Taken {
             mapping,
             server,
             format,
             whole: ask == Ask::Full,
-            mirror: Mirror::default(),
+            mirror,
             changes: Vec::new(),
             claims: Vec::new(),
             view: i64::MIN,
@@ -101,7 +109,7 @@
         if whole {
             *mirror = all;
         } else {
-            changes.iter().for_each(|instance| mirror.take(instance));
+            changes.into_iter().for_each(|noted| mirror.take(noted));
         }
         // Who stands in it and could not be read must not count as missing.
         let view = if read.unreadable > 0 { i64::MIN } else { view };
@@ -129,7 +137,7 @@
             Format::Xml => Instance::from_xml(bytes),
         };
         match read {
-            Ok(instance) => self.instance(instance),
+            Ok(instance) => self.instance(&instance),
             // What is no JSON or XML spoils the body; a field that makes no sense spoils one instance.
             Err(error @ ModelError::Form(_)) => return Err(BodyError::Piece(error.to_string())),
             Err(error) => {
@@ -140,10 +148,10 @@
         Ok(())
     }
 
-    fn instance(&mut self, instance: Instance) {
+    fn instance(&mut self, instance: &Instance) {
         // How new the registry's knowledge is shows in all that it holds, whosever that is.
         self.view = self.view.max(instance.dirty_ms.saturating_mul(2).saturating_add(1));
-        match self.mapping.claim(&instance, self.server) {
+        match self.mapping.claim(instance, self.server) {
             Ok(claim) => self.claims.push(claim),
             Err(Refused::NotOurs) => {}
             // It is there, and must get nothing: not where it says that it is, and not where it was before.
@@ -165,10 +173,11 @@
             }
         }
         // The mirror is of all applications, and of a delta no more than a body's worth is kept.
+        let noted = self.mirror.note(instance);
         if self.whole {
-            self.mirror.take(&instance);
+            self.mirror.take(noted);
         } else {
-            self.changes.push(instance);
+            self.changes.push(noted);
         }
     }
 
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -208,7 +208,14 @@
                     "application/xml" | "text/xml" => Format::Xml,
                     _ => return Err("type".to_owned()),
                 };
-                *of = Some(Reading::new(&registry.mapping, at, ask, format, registry.most_body));
+                *of = Some(Reading::new(
+                    &registry.mapping,
+                    mirror.empty(),
+                    at,
+                    ask,
+                    format,
+                    registry.most_body,
+                ));
                 Ok(())
             }
             (Chunk::Data(data), Some(reading)) => reading.push(data).map_err(|error| error.to_string()),
--- a/crates/registry/tests/bodies.rs
+++ b/crates/registry/tests/bodies.rs
@@ -55,7 +55,7 @@
 
 fn read(format: Format, text: &[u8], cuts: &[usize]) -> Result<(Read, Mirror), BodyError> {
     let (mapping, mut mirror) = (mapping(), Mirror::default());
-    let mut reading = Reading::new(&mapping, 0, Ask::Full, format, 1 << 20);
+    let mut reading = Reading::new(&mapping, mirror.empty(), 0, Ask::Full, format, 8 << 20);
     let mut from = 0;
     for cut in cuts.iter().copied().chain([text.len()]) {
         let to = cut.clamp(from, text.len());
@@ -142,6 +142,36 @@
     assert_eq!(body.push(&[b' '; 101], &mut |_| Ok(())), Err(BodyError::Large(100)));
 }
 
+#[test]
+fn a_body_of_very_many_very_small_instances_is_given_up() {
+    let many = "{\"instanceId\":\"1\"},".repeat(50_001);
+    let body = format!("{{\"instance\":[{}]}}", many.trim_end_matches(','));
+    match read(Format::Json, body.as_bytes(), &[]) {
+        Err(BodyError::Piece(words)) => assert_eq!(words, "more than 50000 instances"),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_delta_is_added_to_what_was_there_only_at_its_end() {
+    let (mapping, mut mirror) = (mapping(), Mirror::default());
+    let mut take = |ask, text: &str, end: bool| {
+        let mut reading = Reading::new(&mapping, mirror.empty(), 0, ask, Format::Json, 1 << 20);
+        reading.push(text.as_bytes()).unwrap();
+        if end {
+            reading.finish(&mut mirror).unwrap();
+        }
+        mirror.hash_code()
+    };
+    assert_eq!(take(Ask::Full, &json(), true), "OUT_OF_SERVICE_1_UP_1_");
+    let gone = ONE.replace("ADDED", "DELETED");
+    let other = OTHER.replace("OUT_OF_SERVICE", "UP").replace("\"db\"", "\"DB\"");
+    let delta = format!("{{\"application\":{{\"instance\":[{gone},{other}]}}}}");
+    assert_eq!(take(Ask::Delta, &delta[..delta.len() - 3], false), "OUT_OF_SERVICE_1_UP_1_");
+    assert_eq!(take(Ask::Delta, &delta, true), "UP_1_", "one left, the other is the same box");
+    assert_eq!(take(Ask::Delta, &delta, true), "UP_1_", "and twice changes nothing");
+}
+
 #[test]
 fn one_unreadable_instance_spoils_itself_and_what_is_missing() {
     let bad = ONE.replace("1767225600123", "soon").replace("s-1", "s-9");
