--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -9,6 +9,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+/// No more members than this are held. A registry whose deltas name ever new ones fills the memory no further; who is
+/// known already is heard as before.
+pub const MOST_MEMBERS: usize = 100_000;
+
 /// A source of claims, in the order in which the host numbers them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SourceId(pub u8);
@@ -322,6 +326,10 @@
             claim.address = claim.address.or(held.claim.address);
             claim.group = claim.group.or(held.claim.group);
         }
+        if self.members.len() >= MOST_MEMBERS && !self.members.contains_key(&claim.member) {
+            taken.stale += 1;
+            return;
+        }
         let member = claim.member.clone();
         self.hold(now, source, member, Held { claim, absent: None, since: now }, taken);
     }
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -19,7 +19,7 @@
     let started = started.map(Time);
     Claim {
         member: id(at),
-        address: format!("127.0.0.1:{}", 7_000 + at).parse().ok(),
+        address: format!("127.0.0.1:{}", 7_000 + at % 50_000).parse().ok(),
         group: Some(GroupId(2)),
         zone: "adum".into(),
         primary: false,
@@ -188,6 +188,15 @@
     assert_eq!(address(&members), 7_002);
 }
 
+#[test]
+fn ever_new_members_fill_no_more_than_agreed_and_drains_still_count() {
+    let mut members = members();
+    let taken = changes(&mut members, 0, (0..MOST_MEMBERS + 5).map(|at| up(at, 1)).collect());
+    assert_eq!((taken.changed.len(), taken.stale, members.iter().count()), (MOST_MEMBERS, 5, MOST_MEMBERS));
+    changes(&mut members, 1, vec![claim(7, ListState::Draining, None, 2)]);
+    assert_eq!(state(&members, 7), Some(ListState::Draining));
+}
+
 #[test]
 fn who_is_gone_is_forgotten_in_time_and_in_number() {
     let mut members = Membership::new(Span::millis(1_000), 2);
