Honest times to come back, claims of old primaries, and nine courses of change in the proof

Need: a change was known from one death only; a refusal named 0.1 s whatever the change took; an answer that said 'primary' from a box that had been cut off counted as of now; a box that had died and was back stayed out for up to 4 s though its probes were answered; and a stand-in that 'died' went on listening, so that no dial to it was ever refused.

Change: a claim proves no more than its position. An ejection for want of a connection ends with an answered probe, one request at a time. The old primary to which no connection comes up is gone at once. Expected lengths may stand in the operator's file ('primary'), until two of a kind were seen. A release whose pace is told refuses what it can't reach in time. The lab plays a thousand held writes, two changes in a row, an old primary back as a replica or still claiming, nobody to take over, a restart, an heir that drains, four poolers onto a cold primary, and six changes to learn from; its dead boxes refuse connections now.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -151,7 +151,7 @@
             waiting: BTreeSet::new(),
             stirred: BTreeSet::new(),
             tokens: HashMap::new(),
-            lengths: Lengths::default(),
+            lengths: Lengths::new(settings.changes),
             crowd: [Counts::default(); 2],
             served: Counts::default(),
             in_service: 0.0,
@@ -496,9 +496,6 @@
         if let Some(m) = failing.and_then(|attempt| self.members.get_mut(&attempt.member)) {
             m.strike(now, ERROR_BESIDE_ANSWER);
         }
-        if verdict == Verdict::Ok {
-            self.groups.entry(open.group).and_modify(|group| group.change.answered(now, &member));
-        }
         if closed {
             let in_time = now <= open.aim && verdict == Verdict::Ok;
             if let Some(open) = self.drop_open(id, actions).filter(|_| in_time) {
@@ -542,10 +539,8 @@
             m.read_at = now;
         }
         match note.role {
-            Some(Role::Primary) => {
-                m.position = m.position.max(at);
-                self.show_primary(now, id, at.max(seen.unwrap_or(at)));
-            }
+            // Who was cut off may say so still: it proves no more than its position, as a primary's is the present.
+            Some(Role::Primary) => self.show_primary(now, id, seen.unwrap_or(at)),
             Some(Role::Replica) => m.replica_at = m.replica_at.max(at),
             None => {}
         }
@@ -553,6 +548,8 @@
 
     fn report(&mut self, now: Time, id: &MemberId, report: Option<&[f64]>) {
         let Some((report, m)) = report.zip(self.members.get_mut(id)) else { return };
+        // Connections to it come up again; whether it answers is tried by one request at a time.
+        m.ejected = if std::mem::take(&mut m.unreached) { m.ejected.min(now) } else { m.ejected };
         let value = |field| {
             let at = self.settings.report.iter().position(|f| *f == field)?;
             report.get(at).copied().filter(|value: &f64| value.is_finite())
@@ -573,7 +570,7 @@
 
     fn show_primary(&mut self, now: Time, id: &MemberId, at: Time) {
         let Some(m) = self.members.get_mut(id) else { return };
-        m.primary_at = m.primary_at.max(at);
+        (m.primary_at, m.position) = (m.primary_at.max(at), m.position.max(at));
         let gid = m.group;
         let rival = self.groups.get(&gid).and_then(|group| group.change.mark()).filter(|mark| *mark != id);
         let rival_at = rival.map_or(NEVER, |mark| self.members[mark].primary_at);
@@ -586,7 +583,7 @@
 
     /// What is told and shown by now begins a change or ends one.
     fn settle(&mut self, now: Time, gid: GroupId) {
-        let shown = self.shown(now, gid).is_some();
+        let shown = self.shown(now, gid).map(|id| self.members[id].primary_at);
         let Some(Group { change, held, .. }) = self.groups.get_mut(&gid) else { return };
         let drains = change.mark().is_some_and(|id| self.members[id].state == ListState::Draining);
         if change.look(now, shown, drains, held.len(), &mut self.lengths) {
@@ -707,6 +704,7 @@
             // An error speaks against the member only where a peer answers the same request: `outcome`.
             Verdict::Error | Verdict::Cancelled | Verdict::Moot => {}
         }
+        self.groups.entry(gid).and_modify(|group| group.change.judged(now, id, verdict));
         if m.ejections > before {
             self.log = Some(format!("{} ejected until {} us: {verdict:?}", id.0, m.ejected.0));
         }
@@ -921,12 +919,11 @@
         for gid in std::mem::take(&mut self.stirred) {
             self.settle(now, gid);
             let Some(group) = self.groups.get(&gid) else { continue };
-            let held = group.held.iter().filter_map(|(_, id)| Some(self.open.get(id)?.held(*id)));
-            let mut held: Vec<Held> = held.map(|of| Held { merit: self.merit(now, of.id), ..of }).collect();
-            order(&mut held, group.change.phase());
-            for one in held {
-                self.place(now, one.id, actions);
-            }
+            let held = group.held.iter().filter_map(|(_, id)| Some((*id, self.open.get(id)?)));
+            let held = held.map(|(id, open)| open.held(id, self.merit(now, id), self.change(open).is_some()));
+            let (go, late) = group.change.order(now, held.collect());
+            late.into_iter().for_each(|id| self.give_up(now, id, actions));
+            go.into_iter().for_each(|id| self.place(now, id, actions));
         }
     }
 }
@@ -965,6 +962,7 @@
     }
 
     fn strike(&mut self, now: Time, weight: f64) {
+        self.unreached = weight == NO_CONNECTION;
         self.ill += (1.0 - self.ill) * weight;
         if self.ill >= EJECTED_AT && now >= self.ejected {
             self.ejected = now
--- a/crates/core/src/handover/lengths.rs
+++ b/crates/core/src/handover/lengths.rs
@@ -1,6 +1,6 @@
 //! How long changes of primary took, and so how long the next one will.
 
-use crate::interface::Span;
+use crate::interface::{Expected, Span};
 
 /// So many of the latest are remembered, of each kind.
 const KEPT: usize = 9;
@@ -23,17 +23,24 @@
 /// The lengths that were seen, from when a router noticed that its primary was in question until the new one was shown.
 #[derive(Clone, Debug, Default)]
 pub struct Lengths {
-    planned: Vec<Span>,
-    unplanned: Vec<Span>,
+    /// What the operator expects of the planned and of the others, until enough were seen.
+    expected: [Option<Expected>; 2],
+    seen: [Vec<Span>; 2],
 }
 
 impl Lengths {
+    /// Nothing is seen yet; of planned changes and of the others this is expected.
+    #[must_use]
+    pub fn new(expected: [Option<Expected>; 2]) -> Self {
+        Self { expected, seen: [Vec::new(), Vec::new()] }
+    }
+
     /// One more change.
     pub fn learn(&mut self, kind: Kind, took: Span) {
         if took < SHORTEST {
             return;
         }
-        let seen = if kind == Kind::Planned { &mut self.planned } else { &mut self.unplanned };
+        let seen = &mut self.seen[kind as usize];
         if seen.len() == KEPT {
             seen.remove(0);
         }
@@ -41,7 +48,7 @@
     }
 
     fn sorted(&self, kind: Kind) -> Option<Vec<Span>> {
-        let mut seen = if kind == Kind::Planned { self.planned.clone() } else { self.unplanned.clone() };
+        let mut seen = self.seen[kind as usize].clone();
         seen.sort();
         (seen.len() >= ENOUGH).then_some(seen)
     }
@@ -49,13 +56,15 @@
     /// A change of this kind takes so long at the least, as far as is known.
     #[must_use]
     pub fn least(&self, kind: Kind) -> Option<Span> {
-        Some(self.sorted(kind)?.first()?.times(SURELY))
+        let seen = self.sorted(kind).and_then(|seen| Some(seen.first()?.times(SURELY)));
+        seen.or(self.expected[kind as usize].map(|expected| expected.least))
     }
 
     /// It usually takes no longer than this: seven in ten did not.
     #[must_use]
     pub fn usual(&self, kind: Kind) -> Option<Span> {
-        let seen = self.sorted(kind)?;
-        seen.get((seen.len() * 7 / 10).min(seen.len() - 1)).copied()
+        let seen =
+            self.sorted(kind).and_then(|seen| seen.get((seen.len() * 7 / 10).min(seen.len() - 1)).copied());
+        seen.or(self.expected[kind as usize].map(|expected| expected.usual))
     }
 }
--- a/crates/core/src/handover/mod.rs
+++ b/crates/core/src/handover/mod.rs
@@ -27,6 +27,11 @@
 const SCOUT: Span = Span::millis(40);
 const MOST_SCOUTS_S: f64 = 250.0;
 const LONGEST_SCOUT: Span = Span::millis(1_000);
+/// From how long and how many answers the pace of a release is told, and how much faster it may yet get: a cold primary
+/// warms up.
+const TOLD: Span = Span::millis(500);
+const TOLD_BY: u32 = 5;
+const FASTER: f64 = 2.0;
 /// A primary that is silent for so long may have a successor soon.
 const SILENT: Span = Span::millis(300);
 /// What is not known of any position.
@@ -112,6 +117,10 @@
     before: Option<MemberId>,
     /// How much of what waited may be out at the found primary.
     out: f64,
+    /// When the primary was found, when it last answered, and how often since.
+    found: Option<(Time, Time, u32)>,
+    /// How many waited when it was last looked at.
+    waiting: usize,
     scouted: Option<Time>,
     /// Members that were tried without a pause after a drain was told.
     round: usize,
@@ -168,7 +177,8 @@
         if shown || (self.phase != Phase::Without && !mark.suspect) {
             return Some(Way::Mark(mark.member.clone()));
         }
-        if self.phase != Phase::Without {
+        // One that was just found may be on trial: one request at a time.
+        if matches!(self.phase, Phase::Settled | Phase::Doubted) {
             self.against(now, Evidence::Silent);
         }
         let scout = if walked < bound { self.scout(now, family, fleet) } else { None };
@@ -221,17 +231,18 @@
         }
     }
 
-    /// Takes in what is known by now: the mark is shown as the primary, and nothing speaks against it; it is told to drain;
+    /// Takes in what is known by now: when the mark was last shown as the primary, if nothing speaks against it; whether it is told to drain;
     /// and so many requests wait. Whether a primary is shown after there
     /// was none, or another one; where that ends a change, its length is learned.
     pub fn look(
         &mut self,
         now: Time,
-        shown: bool,
+        shown: Option<Time>,
         drains: bool,
         waiting: usize,
         lengths: &mut Lengths,
     ) -> bool {
+        self.waiting = waiting;
         if drains {
             self.against(now, Evidence::Drain);
         }
@@ -239,7 +250,11 @@
         if releasing && waiting == 0 {
             self.turn(now, Phase::Settled, Evidence::Empty);
         }
-        if !shown || releasing || self.phase == Phase::Settled {
+        let Some(at) = shown.filter(|_| !drains && !releasing && self.phase != Phase::Settled) else {
+            return false;
+        };
+        // What was known before it was lost does not show that it is back.
+        if self.phase == Phase::Without && self.lost.is_some_and(|(lost, _)| at <= lost) {
             return false;
         }
         let before = self.before.take();
@@ -248,22 +263,32 @@
         if let Some((at, kind)) = self.lost.take().filter(|_| changed) {
             lengths.learn(kind, now - at);
         }
-        self.out = FIRST_OUT;
+        (self.out, self.found) = (FIRST_OUT, Some((now, now, 0)));
         self.turn(now, if changed && waiting > 0 { Phase::Found } else { Phase::Settled }, Evidence::Shown);
         news
     }
 
-    /// A member answered. If it is the primary, what waits may go out faster.
-    pub fn answered(&mut self, now: Time, member: &MemberId) {
+    /// An attempt or a probe at a member ended so. With each answer of the primary, what waits may go out faster; where no
+    /// connection comes up to who was the primary and is in question already, it is gone, and the others may be tried.
+    pub fn judged(&mut self, now: Time, member: &MemberId, verdict: Verdict) {
         if self.mark.as_ref() != Some(member) {
             return;
         }
-        self.out += 1.0;
-        match self.phase {
-            Phase::Found => self.turn(now, Phase::Releasing, Evidence::Answered),
-            Phase::Releasing if self.out > WIDE_OUT => self.turn(now, Phase::Settled, Evidence::Answered),
+        match (verdict, self.phase) {
+            (Verdict::Ok, Phase::Found) => self.turn(now, Phase::Releasing, Evidence::Answered),
+            (Verdict::Ok, Phase::Releasing) if self.out > WIDE_OUT => {
+                self.turn(now, Phase::Settled, Evidence::Answered);
+            }
+            (Verdict::ConnectFailed | Verdict::Unreachable, Phase::Doubted) if self.before == self.mark => {
+                (self.round, self.scouted) = (0, None);
+                self.turn(now, Phase::Without, Evidence::Unreached);
+            }
             _ => {}
         }
+        if verdict == Verdict::Ok {
+            self.out += 1.0;
+            self.found = self.found.map(|(at, _, answers)| (at, now, answers.saturating_add(1)));
+        }
     }
 
     /// The member at which a held write may be tried now, so that the new primary is known before a report tells. One at a
@@ -301,9 +326,37 @@
         lost.and_then(|(at, kind)| Some(at + lengths.least(kind)? > deadline)).unwrap_or(false)
     }
 
-    /// When a primary is to be expected, from now; `None` while there is one, or nothing is known of how long it takes.
+    /// The order in which held requests go out, and those that can't be reached in time by the pace of a release.
+    #[must_use]
+    pub fn order(&self, now: Time, mut held: Vec<Held>) -> (Vec<RequestId>, Vec<RequestId>) {
+        order(&mut held, self.phase);
+        let (mut go, mut late, mut ahead) = (Vec::with_capacity(held.len()), Vec::new(), 0);
+        for one in &held {
+            let reached = self.each().filter(|_| one.primary).map(|each| now + each.times(f64::from(ahead)));
+            if reached.is_some_and(|at| at > one.deadline) {
+                late.push(one.id);
+            } else {
+                go.push(one.id);
+                ahead += u32::from(one.primary);
+            }
+        }
+        (go, late)
+    }
+
+    /// The least time that each of those takes that go out in a release, as far as its pace is told.
+    fn each(&self) -> Option<Span> {
+        let (at, last, answers) = self.found.filter(|_| self.phase == Phase::Releasing)?;
+        let told = last - at > TOLD && answers >= TOLD_BY;
+        told.then(|| Span((last - at).0 / i64::from(answers)).times(1.0 / FASTER))
+    }
+
+    /// When to come back, from now: when a primary is to be expected, or when a slow release will be through. `None` while
+    /// neither binds, or nothing is known of how long it takes.
     #[must_use]
     pub fn back(&self, now: Time, lengths: &Lengths) -> Option<Span> {
+        if let Some(each) = self.each() {
+            return Some(each.times(self.waiting as f64));
+        }
         let (since, kind) = self.lost.filter(|_| self.phase == Phase::Without)?;
         Some((since + lengths.usual(kind)? - now).max(Span(0)))
     }
--- a/crates/core/src/handover/order.rs
+++ b/crates/core/src/handover/order.rs
@@ -18,6 +18,8 @@
     pub deadline: Time,
     /// Its session, if it has one.
     pub session: Option<SessionKey>,
+    /// It waits for the primary, and nothing of it ran.
+    pub primary: bool,
 }
 
 /// Puts them in order: what has more merit first, and among equals who came first.
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -228,6 +228,17 @@
     pub over_share_worth: f64,
     /// What the operators weigh.
     pub goal: Goal,
+    /// How long planned changes of primary take, and others, as far as the operators know.
+    pub changes: [Option<Expected>; 2],
+}
+
+/// How long changes of primary take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Expected {
+    /// None is over sooner.
+    pub least: Span,
+    /// Most are over by then.
+    pub usual: Span,
 }
 
 /// The operators' weights of service.
@@ -266,6 +277,7 @@
             fall_span: Span(0),
             over_share_worth: 1.0,
             goal: Goal::default(),
+            changes: [None; 2],
         }
     }
 }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -191,5 +191,6 @@
             whole: keys.number_or("ObjectiveMix.Whole", 0.0)?,
             worst_class: keys.number_or("ObjectiveMix.WorstClass", 0.0)?,
         },
+        changes: [None; 2],
     })
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -42,6 +42,8 @@
     pub(crate) ill: f64,
     pub(crate) ejections: u32,
     pub(crate) ejected: Time,
+    /// What speaks against it last is that no connection came up.
+    pub(crate) unreached: bool,
     pub(crate) heard: Time,
     /// When the latest of the attempts was sent that it has answered.
     pub(crate) reached: Time,
@@ -103,8 +105,9 @@
 
 impl Open {
     /// As one that waits.
-    pub(crate) fn held(&self, id: RequestId) -> Held {
-        Held { id, merit: 0.0, arrived: self.arrived, deadline: self.deadline, session: self.session }
+    pub(crate) fn held(&self, id: RequestId, merit: f64, primary: bool) -> Held {
+        let (arrived, deadline, session) = (self.arrived, self.deadline, self.session);
+        Held { id, merit, arrived, deadline, session, primary }
     }
 }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,11 +5,13 @@
 mod registry;
 
 use clap::{Args, Parser, Subcommand};
+use linnetdeal_core::{Expected, Span};
 use linnetdeal_net::Pooler;
 use linnetdeal_net::config::Config;
-use linnetdeal_operator::Operator;
+use linnetdeal_operator::{ChangeSettings, Operator};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// The exit code for a configuration that can't be used, as sysexits.h has it.
 const BAD_CONFIG: u8 = 78;
@@ -108,7 +110,9 @@
         None => Operator::default(),
         Some(path) => Operator::load(path).map_err(End::config)?,
     };
-    let config = Config::load(&path).map_err(End::config)?;
+    let mut config = Config::load(&path).map_err(End::config)?;
+    config.settings.changes =
+        [operator.primary.planned, operator.primary.unplanned].map(|of| of.map(expected));
     logging::start(&operator.log);
     let (name, seed) = (config.name.clone(), config.seed);
     let pooler = Pooler::new(config, path).map_err(End::other)?;
@@ -122,6 +126,12 @@
     Ok(())
 }
 
+/// How long changes of primary take, as the decisions count time.
+fn expected(of: ChangeSettings) -> Expected {
+    let span = |of: Duration| Span(i64::try_from(of.as_micros()).unwrap_or(i64::MAX));
+    Expected { least: span(of.least), usual: span(of.usual) }
+}
+
 fn check(file: Option<PathBuf>, config: Option<PathBuf>) -> Result<(), End> {
     if file.is_none() && config.is_none() {
         return Err(End::config(
--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -65,6 +65,7 @@
     rng: ChaCha8Rng,
     stream: Option<TcpStream>,
     read: Vec<u8>,
+    told: Option<Duration>,
 }
 
 impl Client {
@@ -80,6 +81,7 @@
             rng,
             stream: None,
             read: Vec::new(),
+            told: None,
         }
     }
 
@@ -90,6 +92,12 @@
         self
     }
 
+    /// When to come back, as the last refusal told.
+    #[must_use]
+    pub fn told(&self) -> Option<Duration> {
+        self.told
+    }
+
     /// The id of what it asked last.
     #[must_use]
     pub fn last_id(&self) -> String {
@@ -181,6 +189,9 @@
                     b'C' => how = "served".to_owned(),
                     b'E' => {
                         let fields = message.body.split(|byte| *byte == 0);
+                        let told = fields.clone().find_map(|field| field.strip_prefix(b"D"));
+                        let told = told.and_then(|text| std::str::from_utf8(text).ok()?.parse().ok());
+                        self.told = told.map(Duration::from_millis);
                         let code = fields.filter_map(|field| field.strip_prefix(b"C")).next().unwrap_or(b"");
                         how = match code {
                             b"53300" | b"57P03" => "refused".to_owned(),
--- a/crates/lab/src/family.rs
+++ b/crates/lab/src/family.rs
@@ -83,6 +83,10 @@
     /// Rows that have run, by id: how often, and whether a replica has them.
     rows: HashMap<String, (u32, bool)>,
     last_commit: i64,
+    /// One that was the primary, and says that it still is; its position stands still.
+    claims: Option<usize>,
+    /// Statements that came, whole: at which box, when, and whether it was a write.
+    sent: Vec<(usize, Instant, bool)>,
 }
 
 /// A family.
@@ -118,7 +122,7 @@
         for (at, listener) in listeners.into_iter().enumerate() {
             listener.set_nonblocking(true)?;
             let family = family.clone();
-            std::thread::spawn(move || family.listen(at, &listener));
+            std::thread::spawn(move || family.listen(at, listener));
         }
         Ok(family)
     }
@@ -157,6 +161,20 @@
         lock(&self.state).dead.remove(&at);
     }
 
+    /// A box that died is back, and says that it is the primary still. It takes writes, and as no replica follows it any more
+    /// it never answers them.
+    pub fn revive_claiming(&self, at: usize) {
+        let mut state = lock(&self.state);
+        state.dead.remove(&at);
+        state.claims = Some(at);
+    }
+
+    /// The statements that came, whole: at which box, when, and whether it was a write.
+    #[must_use]
+    pub fn sent(&self) -> Vec<(usize, Instant, bool)> {
+        lock(&self.state).sent.clone()
+    }
+
     /// The rows that count: how often each ran, of those that a replica has.
     #[must_use]
     pub fn rows(&self) -> HashMap<String, u32> {
@@ -186,9 +204,9 @@
         here && state.die(step)
     }
 
-    fn listen(&self, at: usize, listener: &TcpListener) {
+    fn listen(&self, at: usize, listener: TcpListener) {
         // While it is down nobody listens at its port.
-        let mut open = listener.try_clone().ok();
+        let mut open = Some(listener);
         let address = self.addresses[at];
         loop {
             let way = self.dead(at);
@@ -294,9 +312,13 @@
             write::ready(out);
             return Some(());
         }
-        let (primary, draining, position) = {
-            let state = lock(&self.state);
-            (state.primary == Some(at), state.draining == Some(at), state.position(at))
+        let (primary, claims, draining, position) = {
+            let mut state = lock(&self.state);
+            if !statement.starts_with("SHOW") {
+                state.sent.push((at, Instant::now(), statement.starts_with("INSERT")));
+            }
+            let claims = state.claims == Some(at);
+            (state.primary == Some(at) || claims, claims, state.draining == Some(at), state.position(at))
         };
         if statement.starts_with("SHOW") {
             let role = u8::from(primary && !draining);
@@ -319,6 +341,12 @@
             write::ready(out);
             return Some(());
         }
+        if claims {
+            while self.dead(at).is_none() && lock(&self.state).claims == Some(at) {
+                std::thread::sleep(LOOK);
+            }
+            return None;
+        }
         let dies = |step| self.dies(at, step);
         if dies(Step::BeforeRun) {
             return None;
@@ -370,6 +398,7 @@
     /// Up to where a box has applied the log, in ms.
     fn position(&self, at: usize) -> i64 {
         match self.primary {
+            _ if self.claims == Some(at) => self.still,
             Some(primary) if primary == at && self.draining.is_none() => now_ms().max(self.last_commit),
             Some(_) if self.draining.is_none() => now_ms() - SHIP_MS,
             _ => self.still,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! proof reports is counted here, from what passed on the sockets, and never by the pooler.
 
 pub mod boxes;
+pub mod changes;
 pub mod clients;
 pub mod demo;
 pub mod eureka;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -134,6 +134,7 @@
 }
 
 fn primary(only: &str, side_by_side: usize, times: usize) -> Result<bool, Failure> {
+    use linnetdeal_lab::changes::{self, Course};
     use linnetdeal_lab::family::{Step, Way};
     use linnetdeal_lab::primary::{Case, play, quantile};
     let ways = |step| Way::ALL.map(|way| Case::Dies(step, way));
@@ -188,27 +189,47 @@
         }
     }
     let share = between.0 as f64 / f64::max(between.1 as f64, 1.0);
+    let courses: Vec<Course> =
+        Course::ALL.into_iter().filter(|course| format!("{course:?}").contains(only)).collect();
+    let tallies = side_by_side_of(&courses, side_by_side.min(2), |course| changes::play(*course, &program));
+    let (mut more, mut budget, mut hints) = (changes::Tally::default(), 0.0, Vec::new());
+    for (course, tally) in courses.iter().zip(tallies) {
+        let tally = tally?;
+        println!("{}", tally.line(*course));
+        if !only.is_empty() {
+            println!("    {}", tally.record);
+        }
+        planned_errors += if course.planned() { tally.asked - tally.served } else { 0 };
+        budget = tally.over_budget.unwrap_or(budget);
+        hints.extend(tally.hints.iter().copied());
+        more.add(&tally);
+    }
+    let honest = hints.iter().filter(|hint| (0.75..=1.25).contains(*hint)).count();
     // The same decisions through all orders in which a change can fall, and once with a fault that must be found.
     let bounds = Bounds { routers: 2, writes: 1, losses: 1, crashes: 1, drains: true, wrong_reset: false };
-    let found = check(bounds, 4);
+    let found = if only.is_empty() { check(bounds, 8) } else { check(Bounds { routers: 1, ..bounds }, 4) };
     let seeded = check(Bounds { routers: 1, wrong_reset: true, ..bounds }, 4);
     if let Some((words, steps)) = &found.wrong {
         println!("model: {words}: {steps:?}");
     }
     let model = found.wrong.is_none() && seeded.wrong.is_some();
+    sums.iter_mut().zip(more.counts()).for_each(|(sum, count)| *sum += count);
+    let broken = more.drains_broken as usize + more.stale as usize + more.astray + usize::from(budget > 1.0);
     let [top_ups, doubled, without, refused, unanswered, late, failed, _] = sums;
     println!(
         "{}",
-        json!({"cases": cases.len(), "did_not_happen": never, "top_ups": top_ups, "rows_doubled": doubled,
+        json!({"cases": cases.len() + courses.len(), "did_not_happen": never, "top_ups": top_ups, "rows_doubled": doubled,
             "rows_lost": without, "unanswered": unanswered, "answered_late": late, "served_without_row": without,
             "refused_with_row": refused, "failed": failed, "planned_errors": planned_errors,
             "planned_added_p99_ms": quantile(&added, 0.99).as_millis() as u64,
             "handover_p99_ms": quantile(&handovers, 0.99).as_millis() as u64,
+            "drains_broken": more.drains_broken, "writes_astray": more.astray, "stale_reads": more.stale, "release_peak_over_budget": (budget * 100.0).round() / 100.0,
+            "hints": hints.len(), "hints_within_quarter": honest,
             "unplanned_served_share": (share * 10_000.0).round() / 10_000.0,
             "states_checked": found.states, "model_violations": u8::from(found.wrong.is_some()),
             "seeded_fault_found": seeded.wrong.is_some()})
     );
-    Ok(model && doubled + without + refused + unanswered + late + never == 0)
+    Ok(model && doubled + without + refused + unanswered + late + never + broken == 0)
 }
 
 /// Whether all came out as it should.
--- a/crates/lab/src/pooler.rs
+++ b/crates/lab/src/pooler.rs
@@ -34,6 +34,23 @@
         "Rules": {"DrainGrace": 250.0, "ColdFrom": 0.16, "Cold": 16000.0, "FallMultiple": 2.5, "Fall": 3000.0}})
 }
 
+/// How a pooler is set up.
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    /// How many poolers there are.
+    pub fleet: u32,
+    /// Its descriptors.
+    pub sockets: u32,
+    /// Where it listens; anywhere by default.
+    pub listen: Option<SocketAddr>,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Self { fleet: 1, sockets: 1_024, listen: None }
+    }
+}
+
 /// A running pooler; killed when dropped.
 pub struct Pooler {
     child: Child,
@@ -50,12 +67,30 @@
     ///
     /// When it does not start.
     pub fn start(program: &Path, operator: Option<&str>, known: &Value) -> std::io::Result<Self> {
+        Self::start_as(program, operator, known, Setup::default())
+    }
+
+    /// Starts it, set up so.
+    ///
+    /// # Errors
+    ///
+    /// When it does not start.
+    pub fn start_as(
+        program: &Path,
+        operator: Option<&str>,
+        known: &Value,
+        setup: Setup,
+    ) -> std::io::Result<Self> {
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("linnetdeal-lab-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
-        let config = json!({"name": format!("lab{number}"), "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known, "settings": settings()});
+        let mut settings = settings();
+        settings["FleetSize"] = setup.fleet.into();
+        let listen = setup.listen.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
+        let config = json!({"name": format!("lab{number}"), "listen": listen.to_string(), "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": setup.sockets}, "known": known,
+            "settings": settings});
         std::fs::write(folder.join("config.json"), config.to_string())?;
         let mut command = Command::new(program);
         command.env("GW_CONFIG", folder.join("config.json")).env_remove("LINNETDEAL_OPERATOR");
--- a/crates/lab/src/primary.rs
+++ b/crates/lab/src/primary.rs
@@ -6,7 +6,7 @@
 use crate::family::{Family, Step, Way};
 use crate::ledger::Ledger;
 use crate::lock;
-use crate::pooler::Pooler;
+use crate::pooler::{Pooler, Setup};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::io;
@@ -47,11 +47,11 @@
 }
 
 #[derive(Clone, Debug)]
-struct Answer {
-    id: String,
-    asked: Instant,
-    took: Duration,
-    how: String,
+pub(crate) struct Answer {
+    pub(crate) id: String,
+    pub(crate) asked: Instant,
+    pub(crate) took: Duration,
+    pub(crate) how: String,
 }
 
 /// What came out of a case.
@@ -85,7 +85,11 @@
     pub answers: BTreeMap<String, usize>,
 }
 
-struct Writers {
+pub(crate) struct Writers {
+    /// The number of the first client.
+    pub(crate) first: usize,
+    /// How long each rests after an answer.
+    pub(crate) pause: Duration,
     stop: Arc<AtomicBool>,
     answers: Arc<Mutex<Vec<Answer>>>,
     threads: Vec<JoinHandle<()>>,
@@ -94,26 +98,54 @@
 }
 
 impl Writers {
-    fn more(&mut self, count: usize) {
+    pub(crate) fn of(address: SocketAddr, ledger: &Arc<Mutex<Ledger>>) -> Self {
+        Self {
+            first: 0,
+            pause: Duration::from_millis(3),
+            stop: Arc::default(),
+            answers: Arc::default(),
+            threads: Vec::new(),
+            address,
+            ledger: ledger.clone(),
+        }
+    }
+
+    /// So many more, each writing again and again.
+    pub(crate) fn more(&mut self, count: usize) {
+        self.add(count, u32::MAX, DEADLINE);
+    }
+
+    /// So many more, each with so many writes, that wait so long.
+    pub(crate) fn add(&mut self, count: usize, writes: u32, deadline: Duration) {
         for _ in 0..count {
             let at = self.threads.len();
+            let (first, pause) = (self.first, self.pause);
             let (stop, answers, ledger) = (self.stop.clone(), self.answers.clone(), self.ledger.clone());
             let address = self.address;
             self.threads.push(std::thread::spawn(move || {
-                let mut client = Client::new(address, at, 1).within(DEADLINE);
-                while !stop.load(Ordering::SeqCst) {
+                let mut client = Client::new(address, first + at, 1).within(deadline);
+                for _ in 0..writes {
+                    if stop.load(Ordering::SeqCst) {
+                        return;
+                    }
                     let asked = Instant::now();
                     let how = client.ask_for(TOP_UP, &ledger);
                     let answer = Answer { id: client.last_id(), asked, took: asked.elapsed(), how };
                     lock(&answers).push(answer);
-                    std::thread::sleep(Duration::from_millis(3));
+                    std::thread::sleep(pause);
                 }
             }));
         }
     }
 
-    fn end(self) -> Vec<Answer> {
+    /// Stops them once each has its answer.
+    pub(crate) fn end(self) -> Vec<Answer> {
         self.stop.store(true, Ordering::SeqCst);
+        self.join()
+    }
+
+    /// Waits for them to be done.
+    pub(crate) fn join(self) -> Vec<Answer> {
         for thread in self.threads {
             let _ = thread.join();
         }
@@ -121,52 +153,75 @@
     }
 }
 
+/// A family with its registry, and poolers that follow it.
+pub(crate) struct Stage {
+    pub(crate) family: Family,
+    pub(crate) world: World,
+    pub(crate) ledger: Arc<Mutex<Ledger>>,
+    pub(crate) poolers: Vec<Pooler>,
+    /// The operator's file of the poolers.
+    pub(crate) operator: String,
+    _peer: Peer,
+}
+
+/// How a box is called.
+pub(crate) fn name(at: usize) -> String {
+    format!("s-{}", at + 1)
+}
+
+impl Stage {
+    /// So many poolers over a family of four boxes, the first of them the primary.
+    pub(crate) fn set(program: &Path, setup: Setup, poolers: usize) -> io::Result<Self> {
+        let family = Family::start(4, IpAddr::V4(Ipv4Addr::new(127, 10, 0, 1)))?;
+        let (world, ledger) = (World::default(), Arc::<Mutex<Ledger>>::default());
+        for (at, address) in family.addresses.iter().enumerate() {
+            let role = if at == 0 { "primary" } else { "replica" };
+            let metadata = [("group", "2"), ("role", role), ("zone", "adum")];
+            world.register(Registered {
+                app: "DB".into(),
+                id: name(at),
+                ip: address.ip().to_string(),
+                port: address.port(),
+                status: "UP".into(),
+                overridden: "UNKNOWN".into(),
+                dirty: world.stamp(),
+                metadata: metadata.map(|(key, value)| (key.to_owned(), value.to_owned())).into(),
+                ..Registered::default()
+            });
+        }
+        let peer = Peer::start(&world, &ledger, SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let operator = format!(
+            "registry: {{\n\tservers: [{{url: \"http://{}/eureka\"}}]\n\tapps: [\"DB\"]\n\tnetworks: [{{prefix: \"127.10.0.0/16\"}}]\n\
+             \tinterval: \"100ms\"\n}}\n",
+            peer.address
+        );
+        let none = json!({"generation": 0, "reset": true, "instances": []});
+        let poolers = (0..poolers).map(|_| {
+            let mut pooler = Pooler::start_as(program, Some(&operator), &none, setup)?;
+            pooler.logged("instances read")?;
+            Ok(pooler)
+        });
+        let poolers = poolers.collect::<io::Result<Vec<_>>>()?;
+        Ok(Self { family, world, ledger, poolers, operator, _peer: peer })
+    }
+}
+
 /// Plays a case with the program at `program`.
 ///
 /// # Errors
 ///
 /// When it can't be played.
 pub fn play(case: Case, program: &Path) -> io::Result<Outcome> {
-    let family = Family::start(4, IpAddr::V4(Ipv4Addr::new(127, 10, 0, 1)))?;
-    let (world, ledger) = (World::default(), Arc::<Mutex<Ledger>>::default());
-    for (at, address) in family.addresses.iter().enumerate() {
-        let role = if at == 0 { "primary" } else { "replica" };
-        let metadata = [("group", "2"), ("role", role), ("zone", "adum")];
-        world.register(Registered {
-            app: "DB".into(),
-            id: format!("s-{}", at + 1),
-            ip: address.ip().to_string(),
-            port: address.port(),
-            status: "UP".into(),
-            overridden: "UNKNOWN".into(),
-            dirty: world.stamp(),
-            metadata: metadata.map(|(key, value)| (key.to_owned(), value.to_owned())).into(),
-            ..Registered::default()
-        });
-    }
-    let peer = Peer::start(&world, &ledger, SocketAddr::from(([127, 0, 0, 1], 0)))?;
-    let operator = format!(
-        "registry: {{\n\tservers: [{{url: \"http://{}/eureka\"}}]\n\tapps: [\"DB\"]\n\tnetworks: [{{prefix: \"127.10.0.0/16\"}}]\n\
-         \tinterval: \"100ms\"\n}}\n",
-        peer.address
-    );
-    let none = json!({"generation": 0, "reset": true, "instances": []});
-    let mut pooler = Pooler::start(program, Some(&operator), &none)?;
-    pooler.logged("instances read")?;
-    let mut writers = Writers {
-        stop: Arc::default(),
-        answers: Arc::default(),
-        threads: Vec::new(),
-        address: pooler.address,
-        ledger: ledger.clone(),
-    };
+    let Stage { family, world, ledger, poolers, .. } = &Stage::set(program, Setup::default(), 1)?;
+    let pooler = &poolers[0];
+    let mut writers = Writers::of(pooler.address, ledger);
     writers.more(WRITERS);
     std::thread::sleep(WARM);
 
     let (began, wait) = match case {
         Case::Planned => {
             family.drain();
-            world.alter("s-1", true, |one| one.status = "OUT_OF_SERVICE".into());
+            world.alter(&name(0), true, |one| one.status = "OUT_OF_SERVICE".into());
             (Some(Instant::now()), PLANNED)
         }
         Case::Dies(step, way) => {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -8,7 +8,8 @@
 
 pub use eval::{Fault, Place};
 pub use typed::{
-    LogFormat, LogSettings, Metadata, Network, Operator, Own, ReadWhat, RegistrySettings, Server, User,
+    ChangeSettings, LogFormat, LogSettings, Metadata, Network, Operator, Own, PrimarySettings, ReadWhat,
+    RegistrySettings, Server, User,
 };
 
 /// The schema, for people to read and for `linnetdeal check --schema`.
--- a/crates/operator/src/schema.cue
+++ b/crates/operator/src/schema.cue
@@ -92,5 +92,18 @@
 	format: *"text" | "json"
 }
 
+// How long a change of primary takes: none is over before 'least', and most are after 'usual'.
+#Change: {
+	least!: #Duration
+	usual!: #Duration
+}
+
+// What is known of changes of primary before any was seen; two of a kind that were seen count for more.
+#Primary: {
+	planned?:   #Change
+	unplanned?: #Change
+}
+
 registry?: #Registry
+primary:   #Primary
 log:       #Log
--- a/crates/operator/src/typed.rs
+++ b/crates/operator/src/typed.rs
@@ -12,10 +12,30 @@
 pub struct Operator {
     /// The registry that is followed, if one is.
     pub registry: Option<RegistrySettings>,
+    /// What is known of changes of primary.
+    pub primary: PrimarySettings,
     /// What is written to standard error.
     pub log: LogSettings,
 }
 
+/// How long a change of primary takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ChangeSettings {
+    /// None is over sooner.
+    pub least: Duration,
+    /// Most are over by then.
+    pub usual: Duration,
+}
+
+/// What is known of changes of primary before any was seen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PrimarySettings {
+    /// Of those by plan.
+    pub planned: Option<ChangeSettings>,
+    /// Of all others.
+    pub unplanned: Option<ChangeSettings>,
+}
+
 /// What is asked of a registry.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -158,9 +178,22 @@
 #[derive(Deserialize)]
 struct RawFile {
     registry: Option<RawRegistry>,
+    primary: RawPrimary,
     log: LogSettings,
 }
 
+#[derive(Deserialize)]
+struct RawPrimary {
+    planned: Option<RawChange>,
+    unplanned: Option<RawChange>,
+}
+
+#[derive(Deserialize)]
+struct RawChange {
+    least: String,
+    usual: String,
+}
+
 #[derive(Deserialize)]
 struct RawRegistry {
     servers: Vec<RawServer>,
@@ -259,8 +292,22 @@
         .map_err(|error| vec![Fault { place: Place::default(), what: error.to_string() }])?;
     let mut check = Checker { tree, faults: Vec::new() };
     let registry = raw.registry.map(|raw| registry(raw, &mut check));
+    let primary = PrimarySettings {
+        planned: raw.primary.planned.map(|raw| change("primary.planned", &raw, &mut check)),
+        unplanned: raw.primary.unplanned.map(|raw| change("primary.unplanned", &raw, &mut check)),
+    };
     check.faults.sort();
-    if check.faults.is_empty() { Ok(Operator { registry, log: raw.log }) } else { Err(check.faults) }
+    if check.faults.is_empty() { Ok(Operator { registry, primary, log: raw.log }) } else { Err(check.faults) }
+}
+
+fn change(path: &str, raw: &RawChange, check: &mut Checker<'_>) -> ChangeSettings {
+    let range = (Duration::from_millis(1), HOUR);
+    let least = check.duration(&format!("{path}.least"), &raw.least, range);
+    let usual = check.duration(&format!("{path}.usual"), &raw.usual, range);
+    if usual < least {
+        check.fault(&format!("{path}.usual"), "it is shorter than 'least'");
+    }
+    ChangeSettings { least, usual }
 }
 
 fn registry(raw: RawRegistry, check: &mut Checker<'_>) -> RegistrySettings {
--- a/crates/operator/tests/files.rs
+++ b/crates/operator/tests/files.rs
@@ -20,6 +20,7 @@
 	register: _pooler
 }
 log: level: "warn"
+primary: unplanned: {least: "2800ms", usual: "5s"}
 "#;
 
 fn decode(text: &str) -> Result<Operator, String> {
@@ -27,7 +28,11 @@
 }
 
 fn good() -> String {
-    GOOD.replace("log: level: \"warn\"", "log: {level: \"warn\"}\n_pooler: {app: \"POOLER\", renew: \"10s\"}")
+    GOOD.replace(
+        "primary: unplanned: {least: \"2800ms\", usual: \"5s\"}",
+        "primary: {unplanned: {least: \"2800ms\", usual: \"5s\"}}",
+    )
+    .replace("log: level: \"warn\"", "log: {level: \"warn\"}\n_pooler: {app: \"POOLER\", renew: \"10s\"}")
 }
 
 #[test]
@@ -44,6 +49,13 @@
     let own = registry.register.unwrap();
     assert_eq!((own.renew, own.expires), (Duration::from_secs(10), Duration::from_secs(90)));
     assert_eq!(operator.log.level, "warn");
+    let (planned, unplanned) = (operator.primary.planned, operator.primary.unplanned.unwrap());
+    assert_eq!(
+        (planned, unplanned.least, unplanned.usual.as_secs()),
+        (None, Duration::from_millis(2_800), 5)
+    );
+    let shorter = good().replace("\"2800ms\"", "\"6s\"");
+    assert!(decode(&shorter).unwrap_err().contains("'primary.unplanned.usual': it is shorter than 'least'"));
     assert_eq!(decode("").unwrap(), Operator::default(), "nothing in it, nothing wanted");
 }
 
@@ -89,9 +101,13 @@
 
 #[test]
 fn all_faults_are_told_at_once() {
-    let text = good().replace("\"5s\"", "7").replace("0.25", "2").replace("\"warn\"", "3");
+    let text = good()
+        .replace("\"5s\"", "7")
+        .replace("0.25", "2")
+        .replace("\"warn\"", "3")
+        .replace("\"2800ms\"", "4");
     let faults = Operator::decode("f", text.as_bytes()).unwrap_err().faults;
-    assert_eq!(faults.iter().map(|fault| fault.place.line).collect::<Vec<_>>(), [11, 12, 15]);
+    assert_eq!(faults.iter().map(|fault| fault.place.line).collect::<Vec<_>>(), [11, 12, 15, 17, 17]);
 }
 
 #[test]
--- a/deploy/operator.example.cue
+++ b/deploy/operator.example.cue
@@ -18,4 +18,10 @@
 	register: {app: "POOLER", renew: "30s"}
 }
 
+// How long changes of primary take here; what is seen counts for more, once two of a kind were.
+primary: {
+	planned: {least: "300ms", usual: "1s"}
+	unplanned: {least: "2800ms", usual: "6400ms"}
+}
+
 log: {level: "info", format: "text"}
