--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 bench-eureka: lab
 	target/release/linnetdeal-lab eureka-bench
 
-# A primary that dies at each step of a write, in each way, and hands over by plan; the last line is one JSON object.
+# Changes of primary: a death at each step of a write, plans, claims, restarts, a cold heir; the last line is one JSON object.
 proof-primary: lab
 	target/release/linnetdeal-lab primary
 
