A model of the fleet in virtual time, with scenarios and an auditor

Need: incidents were rehearsed by waiting for them, and designs could not be tried at sizes that sockets don't reach. Change: crates/fleet has a box (queue, cold start, pauses, the fall), a group (a log, late replicas, elections), a discrete-event host that drives the daemon's router and membership, fixed records of all that happens, an auditor of seven rules that shares no code with the pooler, and twelve faults to seed.

--- /dev/null
+++ b/crates/fleet/src/faults.rs
@@ -0,0 +1,161 @@
+//! Faults put into the records of a clean run, each of which an auditor has to find.
+
+use crate::audit::{Fresh, Rule, Rules};
+use crate::record::{Record, What};
+use linnetdeal_core::{Span, Time};
+
+/// A fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A write runs once more.
+    DoubledWrite,
+    /// A write that ran is refused.
+    RefusedThatRan,
+    /// A request has no answer.
+    Unanswered,
+    /// It has two.
+    AnsweredTwice,
+    /// It has one too late.
+    AnsweredLate,
+    /// Two attempts are out at once.
+    TwoOut,
+    /// A send goes to who was told to drain.
+    AfterDrain,
+    /// A cold box gets a hundred times as much.
+    PushedOver,
+    /// A session's read does not see what it wrote.
+    StaleSession,
+    /// A fresh read misses what was committed.
+    StaleFresh,
+    /// A bounded read is older than its bound.
+    StaleBounded,
+    /// A write is served that never ran.
+    ServedWithoutRow,
+}
+
+impl Fault {
+    /// All.
+    pub const ALL: [Self; 12] = [
+        Self::DoubledWrite,
+        Self::RefusedThatRan,
+        Self::Unanswered,
+        Self::AnsweredTwice,
+        Self::AnsweredLate,
+        Self::TwoOut,
+        Self::AfterDrain,
+        Self::PushedOver,
+        Self::StaleSession,
+        Self::StaleFresh,
+        Self::StaleBounded,
+        Self::ServedWithoutRow,
+    ];
+
+    /// The rule that it breaks.
+    #[must_use]
+    pub fn rule(self) -> Rule {
+        match self {
+            Self::DoubledWrite | Self::RefusedThatRan => Rule::Once,
+            Self::Unanswered | Self::AnsweredTwice | Self::AnsweredLate => Rule::Answered,
+            Self::TwoOut => Rule::OneOut,
+            Self::AfterDrain => Rule::Drain,
+            Self::PushedOver => Rule::Cold,
+            Self::StaleSession | Self::StaleFresh | Self::StaleBounded => Rule::Stale,
+            Self::ServedWithoutRow => Rule::Honest,
+        }
+    }
+
+    /// Puts it into the records, somewhere past their middle. `None` where they hold nothing that it could befall.
+    #[must_use]
+    pub fn put(self, records: &[Record], rules: &Rules) -> Option<Vec<Record>> {
+        let mut all = records.to_vec();
+        let middle = all.len() / 2;
+        let asked: std::collections::HashMap<u64, (usize, i64)> = all
+            .iter()
+            .filter(|of| of.what == What::Asked)
+            .map(|of| (of.request, ((of.b % 256) as usize, of.y)))
+            .collect();
+        let law = |of: &Record| asked.get(&of.request).map(|(class, _)| rules.laws[*class]);
+        let find = |what: What, may: &dyn Fn(&Record) -> bool| {
+            (middle..records.len()).find(|at| records[*at].what == what && may(&records[*at]))
+        };
+        match self {
+            Self::DoubledWrite => {
+                let at = find(What::Ran, &|of| law(of).is_some_and(|law| law.fragile))?;
+                all.insert(at + 1, all[at]);
+            }
+            Self::RefusedThatRan => {
+                let at = find(What::Served, &|of| law(of).is_some_and(|law| law.fragile))?;
+                all[at].what = What::Refused;
+            }
+            Self::Unanswered => {
+                let at = find(What::Served, &|_| true)?;
+                all.remove(at);
+            }
+            Self::AnsweredTwice => {
+                let at = find(What::Served, &|_| true)?;
+                all.insert(at + 1, all[at]);
+            }
+            Self::AnsweredLate => {
+                let at = find(What::Served, &|_| true)?;
+                let mut late = all.remove(at);
+                late.at = late.at + Span::millis(10_000);
+                let to = all.iter().position(|of| of.at > late.at).unwrap_or(all.len());
+                all.insert(to, late);
+            }
+            Self::TwoOut => {
+                let at = find(What::Sent, &|_| true)?;
+                all.insert(at + 1, all[at]);
+            }
+            Self::AfterDrain => {
+                let at = find(What::Sent, &|_| true)?;
+                let mut told = Record { what: What::Told, x: 0, ..all[at] };
+                told.at = told.at - rules.grace - Span::millis(1);
+                let to = all.iter().position(|of| of.at > told.at)?;
+                all.insert(to, told);
+            }
+            Self::PushedOver => {
+                let start = all.iter().position(|of| of.what == What::Started)?;
+                let (cold, began) = (all[start].b, all[start].at);
+                let at = (start..all.len()).find(|at| all[*at].what == What::Came && all[*at].b == cold)?;
+                let near = all[at].at - began < rules.cold.1;
+                all[at].x = all[at].x.saturating_mul(100_000);
+                return near.then_some(all);
+            }
+            Self::StaleSession | Self::StaleFresh | Self::StaleBounded => {
+                let wanted = |fresh: Fresh| match self {
+                    Self::StaleSession => fresh == Fresh::Session,
+                    Self::StaleFresh => fresh == Fresh::All,
+                    _ => matches!(fresh, Fresh::Bounded(_)),
+                };
+                // A session's read has something to see only if that session was served a write there before.
+                let wrote = |of: &Record| {
+                    records.iter().take_while(|other| other.at < of.at - Span::millis(2_000)).any(|other| {
+                        other.what == What::Served
+                            && other.a == of.a
+                            && law(other).is_some_and(|law| law.write)
+                            && asked.get(&other.request).map(|asked| asked.1)
+                                == asked.get(&of.request).map(|asked| asked.1)
+                    })
+                };
+                let may = |of: &Record| {
+                    law(of).is_some_and(|law| !law.write && wanted(law.fresh))
+                        && (self != Self::StaleSession || wrote(of))
+                };
+                let at = find(What::Served, &may)?;
+                all[at].x = all[0].at.0 - 60_000_000;
+            }
+            Self::ServedWithoutRow => {
+                let at = find(What::Served, &|of| law(of).is_some_and(|law| law.write))?;
+                let id = all[at].request;
+                all.retain(|of| of.request != id || of.what != What::Ran);
+            }
+        }
+        Some(all)
+    }
+}
+
+/// The end of records that were changed: later than all in them.
+#[must_use]
+pub fn end(records: &[Record]) -> Time {
+    records.iter().map(|of| of.at).max().unwrap_or_default() + Span::millis(60_000)
+}
--- /dev/null
+++ b/crates/fleet/src/group.rs
@@ -0,0 +1,169 @@
+//! A group: one primary, a log, and replicas that get it late and apply it on one thread each. Time is handed in.
+
+use linnetdeal_core::{Span, Time};
+use std::collections::VecDeque;
+
+/// So much of the log is kept for who comes back; who was away for longer starts from a copy.
+const LOG: usize = 65_536;
+
+/// How a group replicates and changes its primary.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ways {
+    /// From a commit until a replica has it.
+    pub ship: Span,
+    /// What applying one commit takes a replica.
+    pub apply: Span,
+    /// From the death of a primary until it is given up.
+    pub detect: Span,
+    /// From then until a replica has taken over.
+    pub elect: Span,
+    /// From a drain of a primary until another has taken over.
+    pub switch: Span,
+}
+
+#[derive(Clone, Debug)]
+struct Replica {
+    /// It has applied all commits up to here.
+    applied: Time,
+    /// What it has received and not applied: when each will be, and its commit.
+    queue: VecDeque<(Time, Time)>,
+    /// How much slower than usual it applies.
+    slow: f64,
+    /// It gets the log.
+    alive: bool,
+}
+
+/// A group.
+#[derive(Clone, Debug)]
+pub struct Group {
+    ways: Ways,
+    replicas: Vec<Replica>,
+    primary: Option<usize>,
+    /// Since when there is none; positions stand still.
+    lost: Option<Time>,
+    log: VecDeque<Time>,
+}
+
+impl Group {
+    /// A group of so many, the first of them the primary; all have applied all.
+    #[must_use]
+    pub fn new(ways: Ways, members: usize, now: Time) -> Self {
+        let replica = Replica { applied: now, queue: VecDeque::new(), slow: 1.0, alive: true };
+        Self { ways, replicas: vec![replica; members], primary: Some(0), lost: None, log: VecDeque::new() }
+    }
+
+    /// The primary, if there is one.
+    #[must_use]
+    pub fn primary(&self) -> Option<usize> {
+        self.primary
+    }
+
+    /// How it works.
+    #[must_use]
+    pub fn ways(&self) -> Ways {
+        self.ways
+    }
+
+    /// A commit of the primary.
+    pub fn commit(&mut self, now: Time) {
+        if self.log.len() == LOG {
+            self.log.pop_front();
+        }
+        self.log.push_back(now);
+        let (primary, ways) = (self.primary, self.ways);
+        for (at, replica) in self.replicas.iter_mut().enumerate() {
+            if Some(at) != primary && replica.alive {
+                replica.receive(now + ways.ship, now, ways.apply);
+            }
+        }
+    }
+
+    /// Up to where a member has applied the log.
+    pub fn position(&mut self, at: usize, now: Time) -> Time {
+        if self.primary == Some(at) {
+            return now;
+        }
+        let seen = self.lost.map_or(now, |lost| lost.min(now)) - self.ways.ship;
+        let replica = &mut self.replicas[at];
+        while let Some((_, commit)) = replica.queue.front().copied().filter(|(done, _)| *done <= now) {
+            replica.applied = replica.applied.max(commit);
+            replica.queue.pop_front();
+        }
+        // Who has nothing left to apply has all that was shipped.
+        if replica.queue.is_empty() && replica.alive {
+            replica.applied = replica.applied.max(seen);
+        }
+        replica.applied
+    }
+
+    /// A replica applies so much more slowly from now on.
+    pub fn slow(&mut self, at: usize, factor: f64) {
+        self.replicas[at].slow = factor;
+    }
+
+    /// A member gets nothing any more. Gives whether it was the primary: then another has to take over.
+    pub fn leave(&mut self, at: usize, now: Time) -> bool {
+        let replica = &mut self.replicas[at];
+        replica.alive = false;
+        // What it had received it has still; what it had not applied it applies when it is back.
+        if self.primary == Some(at) {
+            (self.primary, self.lost) = (None, Some(now));
+            self.replicas[at].applied = now;
+            return true;
+        }
+        false
+    }
+
+    /// The primary stops taking writes, for another to take over.
+    pub fn hand_over(&mut self, now: Time) -> Option<usize> {
+        let primary = self.primary.take()?;
+        self.lost = Some(now);
+        self.replicas[primary].applied = now;
+        Some(primary)
+    }
+
+    /// A member gets the log again, and goes on from where it stood.
+    pub fn join(&mut self, at: usize, now: Time) {
+        let (ways, lost) = (self.ways, self.lost);
+        let replica = &mut self.replicas[at];
+        if replica.alive {
+            return;
+        }
+        replica.alive = true;
+        replica.queue.clear();
+        let from = replica.applied;
+        for commit in
+            self.log.iter().filter(|commit| **commit > from && lost.is_none_or(|lost| **commit <= lost))
+        {
+            replica.receive(now + ways.ship, *commit, ways.apply);
+        }
+    }
+
+    /// Who takes over: of those that may, the one that has received most; gives it and when it has applied that.
+    #[must_use]
+    pub fn heir(&self, now: Time, may: impl Fn(usize) -> bool) -> Option<(usize, Time)> {
+        let able = self.replicas.iter().enumerate().filter(|(at, replica)| replica.alive && may(*at));
+        let has = |replica: &Replica| replica.queue.back().map_or(replica.applied, |(_, commit)| *commit);
+        let (at, replica) = able.max_by_key(|(at, replica)| (has(replica), std::cmp::Reverse(*at)))?;
+        Some((at, replica.queue.back().map_or(now, |(done, _)| (*done).max(now))))
+    }
+
+    /// A member has taken over. Commits that no replica had are gone with the old primary.
+    pub fn promote(&mut self, at: usize, now: Time) {
+        let replica = &mut self.replicas[at];
+        let kept = replica.queue.back().map_or(replica.applied, |(_, commit)| *commit);
+        replica.queue.clear();
+        replica.applied = now;
+        while self.log.back().is_some_and(|commit| *commit > kept) {
+            self.log.pop_back();
+        }
+        (self.primary, self.lost) = (Some(at), None);
+    }
+}
+
+impl Replica {
+    fn receive(&mut self, arrives: Time, commit: Time, apply: Span) {
+        let free = self.queue.back().map_or(arrives, |(done, _)| (*done).max(arrives));
+        self.queue.push_back((free + apply.times(self.slow), commit));
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/server.rs
@@ -0,0 +1,233 @@
+//! A box: cores that run what came first, a waiting room, a cold start, pauses, and the fall of one that is sent too much while
+//! it is cold. Time is handed in.
+
+use linnetdeal_core::{Span, Time};
+use std::collections::VecDeque;
+
+/// What a box is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Kind {
+    /// How much runs at once.
+    pub cores: usize,
+    /// Of a core, as a multiple of the standard.
+    pub speed: f64,
+    /// How much may wait.
+    pub room: usize,
+    /// How much longer work takes when the room is full, as a part of itself.
+    pub crowding: f64,
+    /// The share of its capacity that it starts with, and when it has all.
+    pub cold: (f64, Span),
+    /// Cold, it falls when it is sent more than this multiple of its capacity for so long.
+    pub fall: (f64, Span),
+}
+
+/// Work that a box is sent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Job {
+    /// Its number, for its sender.
+    pub id: u64,
+    /// On a standard core.
+    pub work: Span,
+}
+
+/// How a box lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    /// It works.
+    Up,
+    /// It stands still, since then; connections stay open.
+    Paused(Time),
+    /// Its process is gone.
+    Dead,
+    /// It was sent too much while it was cold, and stays down.
+    Fallen,
+}
+
+/// What becomes of what is sent to a box.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Came {
+    /// It runs, until then.
+    Runs(Time),
+    /// It waits its turn.
+    Waits,
+    /// The room is full, or the box drains: it never runs.
+    Full,
+    /// Nobody is there.
+    Nobody,
+    /// The box has fallen by it; all that it held is lost, and is told by [`Server::die`].
+    Fell,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    id: u64,
+    ends: Time,
+}
+
+/// A box.
+#[derive(Clone, Debug)]
+pub struct Server {
+    kind: Kind,
+    life: Life,
+    /// Nothing new is taken.
+    pub draining: bool,
+    started: Option<Time>,
+    /// How much slower than usual new work runs.
+    pub slow: f64,
+    running: Vec<Running>,
+    waiting: VecDeque<Job>,
+    /// What came in the last while of a cold start: when, and how much work.
+    sent: VecDeque<(Time, f64)>,
+    sent_work: f64,
+}
+
+impl Server {
+    /// A warm box.
+    #[must_use]
+    pub fn new(kind: Kind) -> Self {
+        Self {
+            kind,
+            life: Life::Up,
+            draining: false,
+            started: None,
+            slow: 1.0,
+            running: Vec::with_capacity(kind.cores),
+            waiting: VecDeque::new(),
+            sent: VecDeque::new(),
+            sent_work: 0.0,
+        }
+    }
+
+    /// How it lives.
+    #[must_use]
+    pub fn life(&self) -> Life {
+        self.life
+    }
+
+    /// When it last started, if that was not long ago.
+    #[must_use]
+    pub fn started(&self) -> Option<Time> {
+        self.started
+    }
+
+    /// The part of its capacity that it has.
+    #[must_use]
+    pub fn warmth(&self, now: Time) -> f64 {
+        let (share, span) = self.kind.cold;
+        let Some(started) = self.started else { return 1.0 };
+        (share + (1.0 - share) * (now - started).0 as f64 / span.0.max(1) as f64).clamp(share, 1.0)
+    }
+
+    /// Work on standard cores that it can do in a microsecond, now.
+    #[must_use]
+    pub fn capacity(&self, now: Time) -> f64 {
+        self.kind.cores as f64 * self.kind.speed * self.warmth(now)
+    }
+
+    /// How much it holds.
+    #[must_use]
+    pub fn holds(&self) -> usize {
+        self.running.len() + self.waiting.len()
+    }
+
+    /// Work arrives.
+    pub fn come(&mut self, now: Time, job: Job) -> Came {
+        if matches!(self.life, Life::Dead | Life::Fallen) {
+            return Came::Nobody;
+        }
+        if self.falls(now, job.work) {
+            self.life = Life::Fallen;
+            return Came::Fell;
+        }
+        if self.draining || self.waiting.len() >= self.kind.room {
+            return Came::Full;
+        }
+        if self.running.len() < self.kind.cores && self.life == Life::Up {
+            return Came::Runs(self.run(now, job));
+        }
+        self.waiting.push_back(job);
+        Came::Waits
+    }
+
+    fn run(&mut self, now: Time, job: Job) -> Time {
+        let crowd = 1.0 + self.kind.crowding * self.waiting.len() as f64 / self.kind.room.max(1) as f64;
+        let takes = job.work.times(self.slow * crowd / (self.kind.speed * self.warmth(now)));
+        let ends = now + takes.max(Span(1));
+        self.running.push(Running { id: job.id, ends });
+        ends
+    }
+
+    /// Counts what a cold box is sent, what it turns away included.
+    fn falls(&mut self, now: Time, work: Span) -> bool {
+        let (multiple, span) = self.kind.fall;
+        if self.warmth(now) >= 1.0 {
+            self.sent.clear();
+            self.sent_work = 0.0;
+            return false;
+        }
+        self.sent.push_back((now, work.0 as f64));
+        self.sent_work += work.0 as f64;
+        while let Some((_, work)) = self.sent.front().copied().filter(|(at, _)| now - *at > span) {
+            self.sent_work -= work;
+            self.sent.pop_front();
+        }
+        let began = self.sent.front().map_or(now, |(at, _)| *at);
+        let mean = (self.capacity(began) + self.capacity(now)) / 2.0;
+        self.sent_work > multiple * mean * span.0 as f64
+    }
+
+    /// The work of this number is through, if it is now that it ends. Gives what runs in its place, and until when.
+    pub fn done(&mut self, now: Time, id: u64) -> Option<Option<(u64, Time)>> {
+        if self.life != Life::Up {
+            return None;
+        }
+        let at = self.running.iter().position(|of| of.id == id && of.ends <= now)?;
+        self.running.swap_remove(at);
+        Some(self.next(now))
+    }
+
+    fn next(&mut self, now: Time) -> Option<(u64, Time)> {
+        let job = self.waiting.pop_front()?;
+        Some((job.id, self.run(now, job)))
+    }
+
+    /// It stands still.
+    pub fn pause(&mut self, now: Time) {
+        if self.life == Life::Up {
+            self.life = Life::Paused(now);
+        }
+    }
+
+    /// It goes on; gives what runs now, and until when.
+    pub fn resume(&mut self, now: Time) -> Vec<(u64, Time)> {
+        let Life::Paused(since) = self.life else { return Vec::new() };
+        self.life = Life::Up;
+        for of in &mut self.running {
+            of.ends = of.ends + (now - since);
+        }
+        while self.running.len() < self.kind.cores && self.next(now).is_some() {}
+        self.running.iter().map(|of| (of.id, of.ends)).collect()
+    }
+
+    /// Its process ends; gives what it held.
+    pub fn die(&mut self) -> Vec<u64> {
+        if self.life != Life::Fallen {
+            self.life = Life::Dead;
+        }
+        self.lose()
+    }
+
+    fn lose(&mut self) -> Vec<u64> {
+        let running = std::mem::take(&mut self.running).into_iter().map(|of| of.id);
+        running.chain(std::mem::take(&mut self.waiting).into_iter().map(|job| job.id)).collect()
+    }
+
+    /// It starts anew, cold; one that has fallen stays down.
+    pub fn start(&mut self, now: Time) -> bool {
+        if self.life != Life::Dead {
+            return false;
+        }
+        (self.life, self.started, self.draining) = (Life::Up, Some(now), false);
+        true
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/model.rs
@@ -0,0 +1,254 @@
+//! The model's parts by themselves, the auditor against seeded faults, and runs that are the same from the same seed.
+
+use linnetdeal_core::{Span, Time};
+use linnetdeal_fleet::audit::{Auditor, Verdict};
+use linnetdeal_fleet::faults::{self, Fault};
+use linnetdeal_fleet::group::{Group, Ways};
+use linnetdeal_fleet::record::{Log, Record, Sink};
+use linnetdeal_fleet::scenario::Scenario;
+use linnetdeal_fleet::server::{Came, Job, Kind, Life, Server};
+use linnetdeal_fleet::sim;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const KIND: Kind = Kind {
+    cores: 2,
+    speed: 1.0,
+    room: 3,
+    crowding: 0.0,
+    cold: (0.16, Span::millis(16_000)),
+    fall: (2.5, Span::millis(3_000)),
+};
+
+fn ms(ms: i64) -> Time {
+    Time(1_000_000_000_000 + ms * 1_000)
+}
+
+fn job(id: u64, work: i64) -> Job {
+    Job { id, work: Span::millis(work) }
+}
+
+#[test]
+fn a_box_runs_what_came_first_and_turns_away_what_has_no_room() {
+    let mut server = Server::new(KIND);
+    assert_eq!(server.come(ms(0), job(1, 10)), Came::Runs(ms(10)));
+    assert_eq!(server.come(ms(0), job(2, 30)), Came::Runs(ms(30)));
+    for id in 3..6 {
+        assert_eq!(server.come(ms(1), job(id, 10)), Came::Waits);
+    }
+    assert_eq!(server.come(ms(1), job(6, 10)), Came::Full);
+    assert_eq!(server.done(ms(10), 1), Some(Some((3, ms(20)))));
+    assert_eq!(server.done(ms(10), 1), None, "it is through already");
+    assert_eq!(server.done(ms(19), 3), None, "not yet");
+    assert_eq!(server.die().len(), 4);
+    assert_eq!(server.come(ms(20), job(7, 10)), Came::Nobody);
+}
+
+#[test]
+fn a_pause_moves_all_ends_and_a_cold_start_is_slow() {
+    let mut server = Server::new(KIND);
+    server.come(ms(0), job(1, 10));
+    server.pause(ms(4));
+    assert_eq!((server.done(ms(10), 1), server.come(ms(5), job(2, 10))), (None, Came::Waits));
+    assert_eq!(server.resume(ms(104)), [(1, ms(110)), (2, ms(114))]);
+    server.die();
+    assert!(server.start(ms(1_000)));
+    assert_eq!(server.come(ms(1_000), job(3, 16)), Came::Runs(ms(1_100)), "at 16%");
+    assert!((server.warmth(ms(9_000)) - 0.58).abs() < 0.001 && server.warmth(ms(20_000)) == 1.0);
+}
+
+#[test]
+fn a_cold_box_that_is_sent_too_much_falls_and_stays_down() {
+    let mut server = Server::new(KIND);
+    server.die();
+    server.start(ms(0));
+    // 2.5 times some 0.24 of two cores for 3 s are 3.6 s of work; what it turns away counts.
+    let fell = (0..200).position(|at| server.come(ms(at * 10), job(at as u64, 40)) == Came::Fell);
+    assert!((60..100).contains(&fell.unwrap()), "{fell:?}");
+    assert_eq!((server.life(), server.start(ms(60_000))), (Life::Fallen, false));
+    assert_eq!(server.come(ms(60_000), job(1, 1)), Came::Nobody, "though nothing is sent any more");
+}
+
+fn ways() -> Ways {
+    Ways {
+        ship: Span::millis(8),
+        apply: Span::millis(5),
+        detect: Span::millis(2_000),
+        elect: Span::millis(2_000),
+        switch: Span::millis(500),
+    }
+}
+
+#[test]
+fn replicas_apply_late_and_one_after_the_other() {
+    let mut group = Group::new(ways(), 3, ms(0));
+    for at in 100..110 {
+        group.commit(ms(at));
+    }
+    assert_eq!(group.position(0, ms(110)), ms(110));
+    assert_eq!(group.position(1, ms(118)), ms(101), "two are through by then: at 113 and 118");
+    group.slow(2, 100.0);
+    group.commit(ms(200));
+    assert_eq!(group.position(1, ms(220)), ms(212), "it has nothing to apply any more");
+    assert!(group.position(2, ms(300)) < ms(200));
+}
+
+#[test]
+fn positions_stand_still_without_a_primary_and_who_has_most_takes_over() {
+    let mut group = Group::new(ways(), 3, ms(0));
+    group.slow(1, 1_000.0);
+    group.commit(ms(100));
+    assert!(group.leave(0, ms(103)));
+    assert_eq!(group.primary(), None);
+    assert_eq!(group.position(2, ms(5_000)), ms(100));
+    // Both have received the commit, and the first of them needs 5 s to apply it.
+    let (heir, at) = group.heir(ms(200), |_| true).unwrap();
+    assert_eq!((heir, at), (1, ms(5_108)));
+    let (heir, _) = group.heir(ms(200), |at| at != 1).unwrap();
+    group.promote(heir, ms(300));
+    assert_eq!((group.primary(), group.position(2, ms(400))), (Some(2), ms(400)));
+    group.commit(ms(500));
+    group.join(0, ms(600));
+    assert!(group.position(0, ms(605)) < ms(500) && group.position(0, ms(700)) >= ms(500));
+}
+
+fn scenario(text: &str) -> Scenario {
+    Scenario::decode("test.cue", text.as_bytes()).unwrap()
+}
+
+const TROUBLED: &str = r#"
+name: "troubled"
+seed: 7
+fleet: {groups: 2, members: 4, poolers: 3}
+traffic: {load: 0.4, lasts: "12s", sessions: 60}
+troubles: [
+	{at: "3s", what: "crash", who: "primary", lasts: "3s"},
+	{at: "5s", what: "pause", who: "replica 1", groups: 2, lasts: "2s"},
+	{at: "6s", what: "drain", who: "primary", groups: 2, lasts: "4s"},
+]
+"#;
+
+fn records(scenario: &Scenario) -> (Vec<Record>, u64) {
+    let mut log = Log::keeping();
+    sim::run(scenario, &mut log);
+    let digest = log.digest();
+    (log.into_records(), digest)
+}
+
+fn audit(records: &[Record]) -> Verdict {
+    let mut auditor = Auditor::new(sim::rules());
+    records.iter().for_each(|record| auditor.take(*record));
+    auditor.verdict(faults::end(records))
+}
+
+#[test]
+fn the_same_seed_gives_the_same_records_and_another_seed_others() {
+    let first = scenario(TROUBLED);
+    let other = Scenario { seed: 8, ..first.clone() };
+    let (records, digest) = records(&first);
+    let again = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..3).map(|_| scope.spawn(|| self::records(&first).1)).collect();
+        threads.into_iter().map(|thread| thread.join().unwrap()).collect::<Vec<_>>()
+    });
+    assert!(records.len() > 2_000 && again.iter().all(|of| *of == digest), "{again:?}");
+    assert_ne!(self::records(&other).1, digest);
+}
+
+#[test]
+fn the_auditor_finds_each_seeded_fault_and_none_where_there_is_none() {
+    let (records, _) = records(&scenario(TROUBLED));
+    let clean = audit(&records);
+    assert!(clean.broken.is_empty() && clean.asked > 500, "{clean:?}");
+    for fault in Fault::ALL {
+        let seeded = fault.put(&records, &sim::rules()).unwrap_or_else(|| panic!("{fault:?} finds no place"));
+        let verdict = audit(&seeded);
+        assert!(verdict.broken.contains_key(&fault.rule()), "{fault:?}: {:?}", verdict.broken);
+    }
+}
+
+#[test]
+fn what_can_not_be_is_told_with_its_place() {
+    let cases = [
+        ("fleet: {groups: 2, members: 4", "fleet: {groups: 9999, members: 64", "4:"),
+        ("replica 1", "replica 3", "'troubles[1].who': a group has 3 replicas"),
+        ("groups: 2, lasts: \"2s\"", "groups: 3, lasts: \"2s\"", "'troubles[1].groups': there are only 2"),
+        ("at: \"6s\"", "at: \"60s\"", "'troubles[2].at': nobody asks any more"),
+        ("\"crash\"", "\"crsh\"", "7:19"),
+    ];
+    for (from, to, what) in cases {
+        let text = TROUBLED.replace(from, to);
+        let faults = Scenario::decode("f", text.as_bytes()).unwrap_err().to_string();
+        assert!(faults.contains(what), "{faults}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(31), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever comes: what a box holds is bounded, each job is through once or told as lost, and a position never goes back.
+    #[test]
+    fn a_box_loses_nothing(steps in prop::collection::vec((0..4_u8, 1..200_i64), 1..80)) {
+        let (mut server, mut now, mut next) = (Server::new(KIND), 0, 0_u64);
+        let mut ends: Vec<(Time, u64)> = Vec::new();
+        let (mut taken, mut through) = (0, 0);
+        for (what, after) in steps {
+            now += after;
+            while let Some(at) = ends.iter().position(|(at, _)| *at <= ms(now)) {
+                let (at, id) = ends.swap_remove(at);
+                if let Some(more) = server.done(at.max(ms(now)), id) {
+                    through += 1;
+                    ends.extend(more.map(|(id, at)| (at, id)));
+                }
+            }
+            match what {
+                0 => server.pause(ms(now)),
+                1 => {
+                    let again = server.resume(ms(now));
+                    if !again.is_empty() {
+                        ends = again.into_iter().map(|(id, at)| (at, id)).collect();
+                    }
+                }
+                _ => {
+                    next += 1;
+                    match server.come(ms(now), job(next, after)) {
+                        Came::Runs(at) => {
+                            ends.push((at, next));
+                            taken += 1;
+                        }
+                        Came::Waits => taken += 1,
+                        _ => {}
+                    }
+                }
+            }
+            prop_assert!(server.holds() <= KIND.cores + KIND.room);
+        }
+        prop_assert_eq!(taken, through + server.die().len());
+    }
+
+    #[test]
+    fn positions_never_go_back(steps in prop::collection::vec((0..6_u8, 0..3_usize, 0..300_i64), 1..80)) {
+        let mut group = Group::new(ways(), 3, ms(0));
+        let (mut now, mut seen) = (0, [ms(-1_000); 3]);
+        for (what, who, after) in steps {
+            now += after;
+            match what {
+                0 if group.primary().is_some() => group.commit(ms(now)),
+                1 => drop(group.leave(who, ms(now))),
+                2 => group.join(who, ms(now)),
+                3 => drop(group.hand_over(ms(now))),
+                4 if group.primary().is_none() => {
+                    if let Some((heir, at)) = group.heir(ms(now), |_| true) {
+                        now = now.max((at.0 - ms(0).0) / 1_000 + 1);
+                        group.promote(heir, ms(now));
+                    }
+                }
+                _ => group.slow(who, 1.0 + after as f64 / 30.0),
+            }
+            for (at, seen) in seen.iter_mut().enumerate() {
+                let position = group.position(at, ms(now));
+                prop_assert!(position >= *seen, "{at}: {position:?} after {seen:?}");
+                *seen = position;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/emulator.rs
@@ -0,0 +1,136 @@
+//! The fleet in virtual time, from the command line: a scenario, the library of them, and how large it gets.
+
+use linnetdeal_fleet::audit::{Auditor, Verdict};
+use linnetdeal_fleet::faults::{self, Fault};
+use linnetdeal_fleet::record::{Log, Record, Sink};
+use linnetdeal_fleet::scenario::Scenario;
+use linnetdeal_fleet::sim::{self, Outcome, WRITES};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+/// Tells two what happens.
+struct Both<'s>(&'s mut Log, &'s mut Auditor);
+
+impl Sink for Both<'_> {
+    fn take(&mut self, record: Record) {
+        self.0.take(record);
+        self.1.take(record);
+    }
+}
+
+/// A scenario that was played.
+#[derive(Debug)]
+pub struct Played {
+    /// Its name.
+    pub name: String,
+    /// What came out.
+    pub outcome: Outcome,
+    /// What the auditor says.
+    pub verdict: Verdict,
+    /// The digest of its records, and their number.
+    pub digest: (u64, u64),
+    /// What it took.
+    pub took: Duration,
+    /// Checks of its own that it missed.
+    pub missed: Vec<String>,
+}
+
+impl Played {
+    /// In a line.
+    #[must_use]
+    pub fn line(&self) -> String {
+        let Outcome { events, asked, latency, sent, probes, fallen, .. } = &self.outcome;
+        let p99 = |class: usize| latency[class].value_at_quantile(0.99) as f64 / 1_000.0;
+        let broken: Vec<String> =
+            self.verdict.broken.iter().map(|(rule, count)| format!("{rule:?} {count}")).collect();
+        format!(
+            "{:<20} asked {:>7}  served {:.4}  writes {:.4}  p99 {:>5.0} ms, of writes {:>5.0}  sent {sent:>8}  probes {probes:>7}  fell {fallen}  cold peak {:.2}  {:>5.2} M events/s  {}{}",
+            self.name,
+            asked.iter().sum::<u64>(),
+            self.outcome.share(),
+            self.outcome.share_of(WRITES),
+            p99(0),
+            p99(WRITES),
+            self.verdict.peak,
+            *events as f64 / self.took.as_secs_f64() / 1e6,
+            if broken.is_empty() {
+                "no rule broken".to_owned()
+            } else {
+                format!("BROKEN {}", broken.join(", "))
+            },
+            self.missed.iter().map(|words| format!("  MISSED {words}")).collect::<String>(),
+        )
+    }
+}
+
+/// Reads a scenario.
+///
+/// # Errors
+///
+/// When it can't be read, or something in it is wrong.
+pub fn load(path: &Path) -> io::Result<Scenario> {
+    let bytes =
+        std::fs::read(path).map_err(|error| io::Error::other(format!("{}: {error}", path.display())))?;
+    Scenario::decode(&path.display().to_string(), &bytes).map_err(io::Error::other)
+}
+
+/// All scenarios of a folder, by name.
+///
+/// # Errors
+///
+/// When one can't be read.
+pub fn library(folder: &Path) -> io::Result<Vec<Scenario>> {
+    let files =
+        std::fs::read_dir(folder)?.map(|entry| Ok(entry?.path())).collect::<io::Result<Vec<PathBuf>>>()?;
+    let mut files: Vec<_> =
+        files.into_iter().filter(|path| path.extension().is_some_and(|of| of == "cue")).collect();
+    files.sort();
+    files.iter().map(|path| load(path)).collect()
+}
+
+/// Plays a scenario and has it audited.
+#[must_use]
+pub fn play(scenario: &Scenario) -> Played {
+    let (mut log, mut auditor) = (Log::default(), Auditor::new(sim::rules()));
+    let began = Instant::now();
+    let outcome = sim::run(scenario, &mut Both(&mut log, &mut auditor));
+    let took = began.elapsed();
+    let verdict = auditor.verdict(outcome.end);
+    let mut missed = Vec::new();
+    for (what, share, wanted) in [
+        ("served", outcome.share(), scenario.checks.served),
+        ("writes", outcome.share_of(WRITES), scenario.checks.writes),
+    ] {
+        if share < wanted {
+            missed.push(format!("{what} {share:.3} of {wanted}"));
+        }
+    }
+    let digest = (log.digest(), log.len());
+    Played { name: scenario.name.clone(), outcome, verdict, digest, took, missed }
+}
+
+/// Puts each fault into a run's records; gives how many were found, of how many that found a place.
+#[must_use]
+pub fn seeded(scenario: &Scenario) -> (usize, usize) {
+    let mut log = Log::keeping();
+    sim::run(scenario, &mut log);
+    let records = log.into_records();
+    let (mut found, mut put) = (0, 0);
+    for fault in Fault::ALL {
+        let Some(changed) = fault.put(&records, &sim::rules()) else { continue };
+        put += 1;
+        let mut auditor = Auditor::new(sim::rules());
+        changed.iter().for_each(|record| auditor.take(*record));
+        found += usize::from(auditor.verdict(faults::end(&changed)).broken.contains_key(&fault.rule()));
+    }
+    (found, put)
+}
+
+/// The most memory that this process has had, in MB.
+#[must_use]
+pub fn peak_memory_mb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    peak.and_then(|text| text.trim().trim_end_matches(" kB").parse::<u64>().ok()).unwrap_or(0) / 1_024
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod changes;
 pub mod clients;
 pub mod demo;
+pub mod emulator;
 pub mod eureka;
 pub mod family;
 pub mod ledger;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,11 +1,13 @@
 //! The lab's command line.
 
 use clap::{Parser, Subcommand};
+use linnetdeal_fleet::scenario::Scenario;
+use linnetdeal_lab::emulator;
 use linnetdeal_lab::model::{Bounds, check};
 use linnetdeal_lab::play::{Outcome, play, program};
 use linnetdeal_lab::script::Script;
 use serde_json::json;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Mutex;
 
@@ -67,6 +69,23 @@
         #[arg(long, default_value_t = 1)]
         crashes: u8,
     },
+    /// Plays a scenario in virtual time, and has it audited.
+    Fleet {
+        /// The scenario's file.
+        scenario: PathBuf,
+        /// Another seed than the file's.
+        #[arg(long)]
+        seed: Option<u64>,
+    },
+    /// Plays all scenarios of a folder, twice; seeds faults for the auditor; and tries the largest fleet.
+    Emulator {
+        /// The folder.
+        #[arg(long, default_value = "scenarios")]
+        folder: PathBuf,
+        /// Leave the largest fleet out.
+        #[arg(long)]
+        small: bool,
+    },
     /// A registry, boxes, a pooler and clients on loopback, to look at.
     Demo {
         /// Ends after so many seconds; 0 is for ever.
@@ -89,6 +108,8 @@
             );
             Ok(found.wrong.is_none())
         }
+        Command::Fleet { scenario, seed } => fleet(&scenario, seed),
+        Command::Emulator { folder, small } => emulator_proof(&folder, small),
         Command::EurekaBench { sizes } => bench(&sizes),
         Command::Demo { seconds } => {
             linnetdeal_lab::demo::run(&program(), seconds).map(|()| true).map_err(Failure::from)
@@ -133,6 +154,67 @@
     done.into_iter().map(|(_, result)| result).collect()
 }
 
+fn fleet(path: &Path, seed: Option<u64>) -> Result<bool, Failure> {
+    let mut scenario = emulator::load(path)?;
+    scenario.seed = seed.unwrap_or(scenario.seed);
+    let played = emulator::play(&scenario);
+    println!("{}", played.line());
+    if let Some((rule, record)) = &played.verdict.first {
+        println!("    first: {rule:?} by {record:?}");
+    }
+    for (second, (asked, served)) in
+        played.outcome.by_second.iter().enumerate().filter(|(_, (asked, _))| *asked > 0)
+    {
+        println!("    {second:>3} s  asked {asked:>6}  served {:.3}", *served as f64 / *asked as f64);
+    }
+    Ok(played.verdict.broken.is_empty() && played.missed.is_empty())
+}
+
+/// The largest fleet that is tried.
+const LARGEST: &str = r#"
+name: "largest"
+fleet: {groups: 1667, members: 6, poolers: 2000, reach: 8}
+traffic: {rate: 250000, lasts: "4s", sessions: 1000000}
+troubles: [{at: "2s", what: "crash", who: "boxes 0.02"}]
+"#;
+
+fn emulator_proof(folder: &Path, small: bool) -> Result<bool, Failure> {
+    let scenarios = emulator::library(folder)?;
+    let once = side_by_side_of(&scenarios, 1, emulator::play);
+    let again = side_by_side_of(&scenarios, 4, emulator::play);
+    let identical = once.iter().zip(&again).all(|(one, other)| one.digest == other.digest);
+    let (mut broken, mut missed) = (0, 0);
+    for played in &once {
+        println!("{}", played.line());
+        broken += played.verdict.broken.values().sum::<u64>();
+        missed += played.missed.len();
+    }
+    let (mut found, mut put) = (0, 0);
+    for scenario in scenarios.iter().filter(|of| of.name == "primary-dies" || of.name == "planned") {
+        let (more, of) = emulator::seeded(scenario);
+        (found, put) = (found + more, put + of);
+    }
+    let events: u64 = once.iter().map(|played| played.outcome.events).sum();
+    let seconds: f64 = once.iter().map(|played| played.took.as_secs_f64()).sum();
+    let mut largest = json!(null);
+    if !small {
+        let scenario = Scenario::decode("largest", LARGEST.as_bytes())?;
+        let played = emulator::play(&scenario);
+        println!("{}", played.line());
+        broken += played.verdict.broken.values().sum::<u64>();
+        largest = json!({"boxes": scenario.fleet.groups * scenario.fleet.members, "poolers": scenario.fleet.poolers,
+            "requests_per_s": scenario.traffic.rate, "events": played.outcome.events, "took_s": played.took.as_secs()});
+    }
+    println!(
+        "{}",
+        json!({"scenarios": scenarios.len(), "missed": missed, "replays_identical": identical,
+            "events": events, "events_per_s_core": (events as f64 / seconds).round(), "largest": largest,
+            "peak_memory_mb": emulator::peak_memory_mb(), "rules_broken": broken,
+            "seeded_faults_found": found, "seeded_faults": put})
+    );
+    Ok(identical && broken == 0 && missed == 0 && found == put && put > 0)
+}
+
 fn primary(only: &str, side_by_side: usize, times: usize) -> Result<bool, Failure> {
     use linnetdeal_lab::changes::{self, Course};
     use linnetdeal_lab::family::{Step, Way};
--- a/crates/operator/src/eval.rs
+++ b/crates/operator/src/eval.rs
@@ -179,7 +179,7 @@
 
 /// A value that is whole, with the places of all its parts.
 #[derive(Clone, Debug)]
-pub(crate) struct Tree {
+pub struct Tree {
     pub(crate) value: serde_json::Value,
     /// By path, such as `registry.servers[0].url`.
     pub(crate) places: BTreeMap<String, Place>,
@@ -187,6 +187,35 @@
 
 type Faulty<T> = Result<T, Vec<Fault>>;
 
+impl Tree {
+    /// The value as a type of one's own. Its own faults name no place: what can be said with one belongs into the schema, or
+    /// is told by [`Tree::fault`].
+    ///
+    /// # Errors
+    ///
+    /// When the type can't hold it.
+    pub fn decode<T: serde::de::DeserializeOwned>(&self) -> Result<T, Fault> {
+        let value = self.value.clone();
+        serde_json::from_value(value)
+            .map_err(|error| Fault { place: Place::default(), what: error.to_string() })
+    }
+
+    /// What is wrong at a path, with its place.
+    #[must_use]
+    pub fn fault(&self, path: &str, what: impl fmt::Display) -> Fault {
+        // A default stands nowhere in the file; the record that it is in does.
+        let mut at = path;
+        let place = loop {
+            match self.places.get(at) {
+                Some(place) if *place != Place::default() => break *place,
+                _ if at.is_empty() => break Place::default(),
+                _ => at = at.rfind(['.', '[']).map_or("", |end| &at[..end]),
+            }
+        };
+        Fault { place, what: format!("'{path}': {what}") }
+    }
+}
+
 /// Puts the file together with the schema, both by their fields.
 pub(crate) fn evaluate(schema: &[Field], file: &[Field]) -> Faulty<Tree> {
     let mut definitions: BTreeMap<&str, &Field> = BTreeMap::new();
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -6,7 +6,7 @@
 mod syntax;
 mod typed;
 
-pub use eval::{Fault, Place};
+pub use eval::{Fault, Place, Tree};
 pub use typed::{
     ChangeSettings, LogFormat, LogSettings, Metadata, Network, Operator, Own, PrimarySettings, ReadWhat,
     RegistrySettings, Server, User,
@@ -62,18 +62,27 @@
     ///
     /// When something in it is wrong.
     pub fn decode(name: &str, bytes: &[u8]) -> Result<Self, Faults> {
-        let faults = |mut faults: Vec<Fault>| {
-            faults.sort();
-            Faults { file: name.to_owned(), faults }
-        };
-        let single = |what: String| faults(vec![Fault { place: Place::default(), what }]);
-        if bytes.len() > LONGEST {
-            return Err(single(format!("longer than {LONGEST} bytes")));
-        }
-        let text = std::str::from_utf8(bytes).map_err(|error| single(format!("no UTF-8: {error}")))?;
-        let schema = syntax::parse(SCHEMA).map_err(|fault| single(format!("the schema: {}", fault.what)))?;
-        let file = syntax::parse(text).map_err(|fault| faults(vec![fault]))?;
-        let tree = eval::evaluate(&schema, &file).map_err(&faults)?;
-        typed::decode(&tree).map_err(faults)
+        let tree = unify(SCHEMA, name, bytes)?;
+        typed::decode(&tree).map_err(|faults| Faults { file: name.to_owned(), faults })
+    }
+}
+
+/// Puts a file's text together with a schema of one's own; `name` is the file's, for its faults.
+///
+/// # Errors
+///
+/// When something in it is wrong.
+pub fn unify(schema: &str, name: &str, bytes: &[u8]) -> Result<Tree, Faults> {
+    let faults = |mut faults: Vec<Fault>| {
+        faults.sort();
+        Faults { file: name.to_owned(), faults }
+    };
+    let single = |what: String| faults(vec![Fault { place: Place::default(), what }]);
+    if bytes.len() > LONGEST {
+        return Err(single(format!("longer than {LONGEST} bytes")));
     }
+    let text = std::str::from_utf8(bytes).map_err(|error| single(format!("no UTF-8: {error}")))?;
+    let schema = syntax::parse(schema).map_err(|fault| single(format!("the schema: {}", fault.what)))?;
+    let file = syntax::parse(text).map_err(|fault| faults(vec![fault]))?;
+    eval::evaluate(&schema, &file).map_err(&faults)
 }
--- a/crates/operator/src/typed.rs
+++ b/crates/operator/src/typed.rs
@@ -252,16 +252,7 @@
 
 impl Checker<'_> {
     fn fault(&mut self, path: &str, what: impl Into<String>) {
-        // A default stands nowhere in the file; the record that it is in does.
-        let mut at = path;
-        let place = loop {
-            match self.tree.places.get(at) {
-                Some(place) if *place != Place::default() => break *place,
-                _ if at.is_empty() => break Place::default(),
-                _ => at = at.rfind(['.', '[']).map_or("", |end| &at[..end]),
-            }
-        };
-        self.faults.push(Fault { place, what: format!("'{path}': {}", what.into()) });
+        self.faults.push(self.tree.fault(path, what.into()));
     }
 
     fn duration(&mut self, path: &str, text: &str, range: (Duration, Duration)) -> Duration {
--- /dev/null
+++ b/scenarios/calm.cue
@@ -0,0 +1,8 @@
+// A day without trouble: what everything else is compared with.
+package scenario
+
+name: "calm"
+seed: 1
+fleet: {groups: 2}
+traffic: {load: 0.5}
+checks: {served: 0.99, writes: 0.99}
--- /dev/null
+++ b/scenarios/planned.cue
@@ -0,0 +1,9 @@
+// A planned change of every group's primary, one after the other.
+package scenario
+
+name: "planned"
+seed: 4
+fleet: {groups: 4}
+traffic: {load: 0.5}
+troubles: [{at: "10s", what: "drain", who: "primary", groups: 4, apart: "4s", lasts: "6s"}]
+checks: {served: 0.95, writes: 0.95}
--- /dev/null
+++ b/scenarios/poolers-die.cue
@@ -0,0 +1,9 @@
+// Half of the poolers die at once and come back with their last list.
+package scenario
+
+name: "poolers-die"
+seed: 9
+fleet: {poolers: 8}
+traffic: {load: 0.5}
+troubles: [{at: "10s", what: "crash", who: "poolers 0.5", lasts: "4s"}]
+checks: {served: 0.85}
