Of many held writes only the first few are tried at each event

Change: a group names the writes to be tried (16, those that have walked least while nobody is the primary) and those whose time ends; merit is worked out once a class.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -302,9 +302,8 @@
         let jam = self.crowding(now, open.group, REPLICA) > HOPELESS_CROWD && chance < HOPELESS_NEW;
         let waited = jam || now > open.arrived;
         // One never sent keeps its client from trying elsewhere: it is told while half its time is left.
-        let half =
-            open.attempts.is_empty() && now - open.arrived > (open.deadline - open.arrived).times(HELD);
-        let hopeless = class.need != Need::Write && waited && (half || now + takes >= last);
+        let old = open.attempts.is_empty() && now - open.arrived > (open.deadline - open.arrived).times(HELD);
+        let hopeless = class.need != Need::Write && waited && (old || now + takes >= last);
         let vain = self.change(open).is_some_and(|change| change.in_vain(open.deadline, &self.lengths));
         if spent || ran || hopeless || vain || now + SWEEP >= open.deadline {
             self.give_up(now, id, actions);
@@ -920,8 +919,12 @@
             self.settle(now, gid);
             let Some(group) = self.groups.get(&gid) else { continue };
             let held = group.held.iter().filter_map(|(_, id)| Some((*id, self.open.get(id)?)));
-            let held = held.map(|(id, open)| open.held(id, self.merit(now, id), self.change(open).is_some()));
-            let (go, late) = group.change.order(now, held.collect());
+            let mut merits = HashMap::new();
+            let held = held.map(|(id, open)| {
+                let merit = *merits.entry((open.class, open.tenant)).or_insert_with(|| self.merit(now, id));
+                open.held(id, merit, self.settings.classes[open.class].need)
+            });
+            let (go, late) = group.change.order(now, held.collect(), &self.lengths);
             late.into_iter().for_each(|id| self.give_up(now, id, actions));
             go.into_iter().for_each(|id| self.place(now, id, actions));
         }
--- a/crates/core/src/handover/mod.rs
+++ b/crates/core/src/handover/mod.rs
@@ -32,6 +32,9 @@
 const TOLD: Span = Span::millis(500);
 const TOLD_BY: u32 = 5;
 const FASTER: f64 = 2.0;
+/// So many held writes are tried at once, and a write's last moments.
+const TRIED: u32 = 16;
+const ENDS: Span = Span::millis(30);
 /// A primary that is silent for so long may have a successor soon.
 const SILENT: Span = Span::millis(300);
 /// What is not known of any position.
@@ -326,18 +329,34 @@
         lost.and_then(|(at, kind)| Some(at + lengths.least(kind)? > deadline)).unwrap_or(false)
     }
 
-    /// The order in which held requests go out, and those that can't be reached in time by the pace of a release.
+    /// The held requests that are to be tried now, in their order, and those that can't be reached in time by the pace of a
+    /// release.
+    ///
+    /// Of the writes these are the first few, and those that have walked least while nobody is the primary: if none of them can
+    /// go, no other can. It keeps what thousands of held writes cost from growing with each event. Who is out of time,
+    /// or waits in vain, is always named, to be told so.
     #[must_use]
-    pub fn order(&self, now: Time, mut held: Vec<Held>) -> (Vec<RequestId>, Vec<RequestId>) {
+    pub fn order(
+        &self,
+        now: Time,
+        mut held: Vec<Held>,
+        lengths: &Lengths,
+    ) -> (Vec<RequestId>, Vec<RequestId>) {
         order(&mut held, self.phase);
-        let (mut go, mut late, mut ahead) = (Vec::with_capacity(held.len()), Vec::new(), 0);
+        let least = held.iter().filter(|one| one.write).map(|one| one.walked).min().unwrap_or(0);
+        let (mut go, mut late, mut ahead, mut writes) = (Vec::with_capacity(held.len()), Vec::new(), 0, 0);
         for one in &held {
             let reached = self.each().filter(|_| one.primary).map(|each| now + each.times(f64::from(ahead)));
             if reached.is_some_and(|at| at > one.deadline) {
                 late.push(one.id);
-            } else {
+                continue;
+            }
+            ahead += u32::from(one.primary);
+            let ends = one.deadline - now < ENDS || self.in_vain(one.deadline, lengths);
+            let able = self.phase != Phase::Without || one.walked == least;
+            if !one.write || ends || (able && writes < TRIED) {
+                writes += u32::from(one.write);
                 go.push(one.id);
-                ahead += u32::from(one.primary);
             }
         }
         (go, late)
--- a/crates/core/src/handover/order.rs
+++ b/crates/core/src/handover/order.rs
@@ -20,6 +20,10 @@
     pub session: Option<SessionKey>,
     /// It waits for the primary, and nothing of it ran.
     pub primary: bool,
+    /// It is a write.
+    pub write: bool,
+    /// How many steps of its walk it has done.
+    pub walked: u32,
 }
 
 /// Puts them in order: what has more merit first, and among equals who came first.
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -105,9 +105,10 @@
 
 impl Open {
     /// As one that waits.
-    pub(crate) fn held(&self, id: RequestId, merit: f64, primary: bool) -> Held {
-        let (arrived, deadline, session) = (self.arrived, self.deadline, self.session);
-        Held { id, merit, arrived, deadline, session, primary }
+    pub(crate) fn held(&self, id: RequestId, merit: f64, need: Need) -> Held {
+        let Self { arrived, deadline, session, misses: walked, .. } = *self;
+        let primary = matches!(need, Need::Write | Need::Fresh) && !self.may_have_run;
+        Held { id, merit, arrived, deadline, session, primary, write: need == Need::Write, walked }
     }
 }
 
--- a/crates/core/tests/primary.rs
+++ b/crates/core/tests/primary.rs
@@ -122,8 +122,12 @@
         deadline: ms(4_000),
         session: None,
         primary: at != 99,
+        write: false,
+        walked: 0,
+    };
+    let late = |change: &Change, now| {
+        change.order(ms(now), (0..100).map(held).collect(), &Lengths::default()).1.len()
     };
-    let late = |change: &Change, now| change.order(ms(now), (0..100).map(held).collect()).1.len();
     for at in 1..=10 {
         assert_eq!(late(&change, 2_000 + at * 50), 0, "its pace is not told yet");
         change.judged(ms(2_000 + at * 50 + 40), &member(3), Verdict::Ok);
@@ -134,6 +138,26 @@
     assert_eq!(change.back(ms(2_540), &lengths), Some(Span::millis(2_700)), "when all of them would be done");
 }
 
+#[test]
+fn of_many_held_writes_a_few_are_tried_and_all_are_told_when_their_time_is_over() {
+    let (mut change, _, _) = settled();
+    change.against(ms(10), Evidence::Walked);
+    let held = |at: u64| Held {
+        id: RequestId(at),
+        merit: 1.0,
+        arrived: ms(at as i64),
+        deadline: ms(if at == 900 { 5_020 } else { 9_000 }),
+        session: None,
+        primary: true,
+        write: true,
+        walked: u32::from(at < 500),
+    };
+    let lengths = Lengths::new([None, Some(Expected { least: Span::millis(100), usual: Span::millis(200) })]);
+    let (go, late) = change.order(ms(5_000), (0..1_000).map(held).collect(), &lengths);
+    let first: Vec<_> = (500..516).chain([900]).map(RequestId).collect();
+    assert_eq!((go, late.len()), (first, 0), "those that may walk, and who is out of time");
+}
+
 #[test]
 fn the_same_primary_again_is_no_change() {
     let (mut change, _, mut lengths) = settled();
@@ -295,6 +319,8 @@
             deadline: ms(at as i64 + left),
             session: (*session > 0).then_some(SessionKey(*session)),
             primary: true,
+            write: false,
+            walked: 0,
         }).collect();
         order(&mut held, Phase::Releasing);
         for (at, one) in held.iter().enumerate() {
