A box that started anew is not taken for the primary that it was

One was the model's own (the auditor was given positions rounded to a millisecond). The other is real: a pooler that sees few requests had last been shown a primary 15 s before; that box died, came back as a replica, the list told of its start, and fresh reads still went to it. Change: a start that the list tells of voids the role shown before it (choice.rs list).

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The common tasks. CONFIG names the configuration for `make run`.
 CONFIG ?= config.json
 
-.PHONY: build test lint run ci lab proof-eureka bench-eureka proof-primary demo
+.PHONY: build test lint run ci lab proof-eureka bench-eureka proof-primary proof-emulator demo
 
 build:
 	cargo build --locked --release
@@ -36,6 +36,10 @@
 proof-primary: lab
 	target/release/linnetdeal-lab primary
 
+# All scenarios in virtual time, twice, audited; faults that must be found; the largest fleet. One JSON object at the end.
+proof-emulator: lab
+	target/release/linnetdeal-lab emulator
+
 # A registry, boxes, a pooler and a client on loopback, to look at. Ends on Ctrl-C or after DEMO_S seconds.
 demo: lab
 	target/release/linnetdeal-lab demo --seconds $(or $(DEMO_S),0)
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -226,8 +226,7 @@
             self.groups.entry(entry.group).or_default().members.insert(entry.member.clone());
             self.stirred.insert(entry.group);
             named.extend(full.then(|| entry.member.clone()));
-            let dice = self.chance();
-            let id = entry.member.clone();
+            let (dice, id) = (self.chance(), entry.member.clone());
             let m = self.members.entry(entry.member).or_insert_with(|| Member::new(entry.group, limit));
             let before = std::mem::replace(&mut m.group, entry.group);
             if let Some(group) = self.groups.get_mut(&before).filter(|_| before != entry.group) {
@@ -237,6 +236,7 @@
             m.listed_primary = entry.primary;
             if let Some(at) = entry.started.filter(|_| entry.started > m.started) {
                 m.start(now, at, dice);
+                m.replica_at = m.replica_at.max(at); // It may have come back as another than it was.
             }
         }
         let most = if full { usize::MAX } else { 0 };
@@ -538,7 +538,7 @@
             m.read_at = now;
         }
         match note.role {
-            // Who was cut off may say so still: it proves no more than its position, as a primary's is the present.
+            // Who was cut off may say so still: it proves what its position does, now at a true primary.
             Some(Role::Primary) => self.show_primary(now, id, seen.unwrap_or(at)),
             Some(Role::Replica) => m.replica_at = m.replica_at.max(at),
             None => {}
--- a/crates/core/tests/primary.rs
+++ b/crates/core/tests/primary.rs
@@ -255,6 +255,19 @@
     assert!(refused(&actions, read).is_none(), "other reads have other members");
 }
 
+#[test]
+fn a_box_that_started_anew_is_not_taken_for_the_primary_that_it_was() {
+    let mut host = Host::new(Settings { cold_share: 1.0, ..settings() }, 3);
+    host.probed(1, true, 0);
+    assert_eq!(sends(&host.ask(FRESH).1), [member(1)]);
+    let again = Entry { started: Some(host.now + Span::millis(5)), ..entry(1) };
+    host.now = host.now + Span::millis(1_000);
+    host.tell(Event::List(Listing::Changes(vec![again])));
+    let (_, actions) = host.ask(FRESH);
+    assert!(sends(&actions).is_empty(), "it has to show it anew");
+    assert_eq!(sends(&host.probed(1, true, 1)).len(), 1);
+}
+
 #[test]
 fn a_report_from_before_the_change_does_not_undo_an_answer_from_behind_it() {
     let mut host = with_changes_seen();
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -108,6 +108,8 @@
     pub zones: usize,
     /// Groups that a pooler serves; 0 for all.
     pub reach: usize,
+    /// Whether an operator told poolers how long changes of primary take.
+    pub expected: bool,
 }
 
 /// What boxes are like.
--- a/crates/fleet/src/schema.cue
+++ b/crates/fleet/src/schema.cue
@@ -27,6 +27,8 @@
 	zones:   int & >=1 & <=64 | *3
 	// How many groups a pooler serves; 0 is all.
 	reach: int & >=0 & <=10000 | *0
+	// Whether an operator told poolers how long changes of primary take.
+	expected: bool | *false
 }
 
 #Box: {
--- a/crates/fleet/src/sim.rs
+++ b/crates/fleet/src/sim.rs
@@ -27,6 +27,8 @@
 const HANDSHAKE: Span = Span(2_000);
 /// After the last request has come, a run goes on for so long at the most.
 const AFTER: Span = Span::millis(8_000);
+/// The shortest change without a plan, as a part of the usual.
+const LEAST_CHANGE: f64 = 0.75;
 const BACK_MS: std::ops::Range<i64> = 10..80;
 
 /// A class of the model: what a client asks of it, and the share of requests that it is.
@@ -302,6 +304,10 @@
             fall_multiple: FALL.0,
             fall_span: FALL.1,
             goal: Goal { whole: 0.6, worst_class: 0.2 },
+            changes: [plan.boxes.switch, Span(plan.boxes.detect.0 + plan.boxes.elect.0)].map(|usual| {
+                let least = usual.times(LEAST_CHANGE);
+                plan.fleet.expected.then_some(Expected { least, usual })
+            }),
             ..Settings::default()
         };
         let (boxes, fleet) = (&plan.boxes, &plan.fleet);
@@ -762,7 +768,7 @@
         let (group, member, life) = (host.group as usize, host.member as usize, host.life);
         if self.plans[of.class].class.need != Need::Write {
             let note = self.note(server);
-            self.attempts[at].commit = note.position.unwrap_or(self.now);
+            self.attempts[at].commit = self.groups[group].position(member, self.now);
             self.answer(at, Verdict::Ok, Some(note));
             return;
         }
@@ -812,10 +818,8 @@
         let client = self.poolers[of.router as usize].open.get(&of.request).copied();
         let served = verdict == Verdict::Ok && client.is_some();
         if let Some(client) = client.filter(|_| served) {
-            let write = self.plans[of.class].class.need == Need::Write;
-            let position = note.and_then(|note| note.position).unwrap_or(of.commit);
-            let shown = if write { of.commit } else { position };
-            self.record(What::Served, of.router, of.server, of.request, shown.0, 0);
+            // The commit of a write, the position that a read was answered from: as they are, not as a note rounds them.
+            self.record(What::Served, of.router, of.server, of.request, of.commit.0, 0);
             let pooler = &mut self.poolers[of.router as usize];
             pooler.open.remove(&of.request);
             pooler.open.remove(&(of.request | COUNT));
@@ -924,7 +928,7 @@
         self.epochs[group] += 1;
         let epoch = self.epochs[group];
         let ways = self.groups[group].ways();
-        let takes = Span(ways.detect.0 + ways.elect.0).times(0.75 + 0.5 * self.rng.random::<f64>());
+        let takes = Span(ways.detect.0 + ways.elect.0).times(LEAST_CHANGE + 0.5 * self.rng.random::<f64>());
         self.after(takes, Event::Elect { group: group as u32, epoch });
     }
 
--- a/crates/lab/src/emulator.rs
+++ b/crates/lab/src/emulator.rs
@@ -110,6 +110,25 @@
     Played { name: scenario.name.clone(), outcome, verdict, digest, took, missed }
 }
 
+/// Keeps what concerns a request.
+struct Of(u64, Vec<Record>);
+
+impl Sink for Of {
+    fn take(&mut self, record: Record) {
+        if record.request == self.0 {
+            self.1.push(record);
+        }
+    }
+}
+
+/// All records of a request.
+#[must_use]
+pub fn of_request(scenario: &Scenario, request: u64) -> Vec<Record> {
+    let mut of = Of(request, Vec::new());
+    sim::run(scenario, &mut of);
+    of.1
+}
+
 /// Puts each fault into a run's records; gives how many were found, of how many that found a place.
 #[must_use]
 pub fn seeded(scenario: &Scenario) -> (usize, usize) {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -11,6 +11,16 @@
 use std::process::ExitCode;
 use std::sync::Mutex;
 
+/// Prints a line. Who reads may have left: then there is nobody to print for, and no reason to end otherwise than so.
+macro_rules! say {
+    ($($words:tt)*) => {{
+        use std::io::Write as _;
+        if writeln!(std::io::stdout(), $($words)*).is_err() {
+            std::process::exit(1);
+        }
+    }};
+}
+
 /// Stand-ins, scripts and proofs round linnetdeal, on loopback only.
 #[derive(Parser)]
 #[command(name = "linnetdeal-lab", version)]
@@ -76,6 +86,9 @@
         /// Another seed than the file's.
         #[arg(long)]
         seed: Option<u64>,
+        /// Print all records of this request.
+        #[arg(long)]
+        request: Option<u64>,
     },
     /// Plays all scenarios of a folder, twice; seeds faults for the auditor; and tries the largest fleet.
     Emulator {
@@ -101,14 +114,14 @@
         Command::Model { routers, writes, losses, crashes } => {
             let bounds = Bounds { routers, writes, losses, crashes, drains: true, wrong_reset: false };
             let found = check(bounds, 4);
-            println!(
+            say!(
                 "{}",
                 json!({"states_checked": found.states, "outlasted": found.outlasted,
                 "wrong": found.wrong.as_ref().map(|(words, steps)| format!("{words}: {steps:?}"))})
             );
             Ok(found.wrong.is_none())
         }
-        Command::Fleet { scenario, seed } => fleet(&scenario, seed),
+        Command::Fleet { scenario, seed, request } => fleet(&scenario, seed, request),
         Command::Emulator { folder, small } => emulator_proof(&folder, small),
         Command::EurekaBench { sizes } => bench(&sizes),
         Command::Demo { seconds } => {
@@ -129,7 +142,7 @@
 
 fn bench(sizes: &[usize]) -> Result<bool, Failure> {
     for size in sizes {
-        println!("{}", linnetdeal_lab::sizes::measure(&program(), *size)?);
+        say!("{}", linnetdeal_lab::sizes::measure(&program(), *size)?);
     }
     Ok(true)
 }
@@ -154,18 +167,22 @@
     done.into_iter().map(|(_, result)| result).collect()
 }
 
-fn fleet(path: &Path, seed: Option<u64>) -> Result<bool, Failure> {
+fn fleet(path: &Path, seed: Option<u64>, request: Option<u64>) -> Result<bool, Failure> {
     let mut scenario = emulator::load(path)?;
     scenario.seed = seed.unwrap_or(scenario.seed);
+    if let Some(request) = request {
+        emulator::of_request(&scenario, request).iter().for_each(|record| say!("{record:?}"));
+        return Ok(true);
+    }
     let played = emulator::play(&scenario);
-    println!("{}", played.line());
+    say!("{}", played.line());
     if let Some((rule, record)) = &played.verdict.first {
-        println!("    first: {rule:?} by {record:?}");
+        say!("    first: {rule:?} by {record:?}");
     }
     for (second, (asked, served)) in
         played.outcome.by_second.iter().enumerate().filter(|(_, (asked, _))| *asked > 0)
     {
-        println!("    {second:>3} s  asked {asked:>6}  served {:.3}", *served as f64 / *asked as f64);
+        say!("    {second:>3} s  asked {asked:>6}  served {:.3}", *served as f64 / *asked as f64);
     }
     Ok(played.verdict.broken.is_empty() && played.missed.is_empty())
 }
@@ -185,7 +202,7 @@
     let identical = once.iter().zip(&again).all(|(one, other)| one.digest == other.digest);
     let (mut broken, mut missed) = (0, 0);
     for played in &once {
-        println!("{}", played.line());
+        say!("{}", played.line());
         broken += played.verdict.broken.values().sum::<u64>();
         missed += played.missed.len();
     }
@@ -200,12 +217,12 @@
     if !small {
         let scenario = Scenario::decode("largest", LARGEST.as_bytes())?;
         let played = emulator::play(&scenario);
-        println!("{}", played.line());
+        say!("{}", played.line());
         broken += played.verdict.broken.values().sum::<u64>();
         largest = json!({"boxes": scenario.fleet.groups * scenario.fleet.members, "poolers": scenario.fleet.poolers,
             "requests_per_s": scenario.traffic.rate, "events": played.outcome.events, "took_s": played.took.as_secs()});
     }
-    println!(
+    say!(
         "{}",
         json!({"scenarios": scenarios.len(), "missed": missed, "replays_identical": identical,
             "events": events, "events_per_s_core": (events as f64 / seconds).round(), "largest": largest,
@@ -233,7 +250,7 @@
         let mut words: Vec<String> =
             one.answers.iter().map(|(how, count)| format!("{how} {count}")).collect();
         let log = words.iter().position(|words| words.starts_with("log: ")).map(|at| words.remove(at));
-        println!(
+        say!(
             "{:<24} top-ups {:>5}  doubled {}  served without row {}  refused with row {}  unanswered {}  late {}  between {}/{}  handover {:>5} ms  {}{}",
             case.to_string(),
             one.top_ups,
@@ -249,7 +266,7 @@
             if one.happened { "" } else { "  DID NOT HAPPEN" }
         );
         if let Some(log) = log.filter(|_| !only.is_empty()) {
-            println!("    {log}");
+            say!("    {log}");
         }
         never += usize::from(!one.happened);
         let counts = [
@@ -277,9 +294,9 @@
     let (mut more, mut budget, mut hints) = (changes::Tally::default(), 0.0, Vec::new());
     for (course, tally) in courses.iter().zip(tallies) {
         let tally = tally?;
-        println!("{}", tally.line(*course));
+        say!("{}", tally.line(*course));
         if !only.is_empty() {
-            println!("    {}", tally.record);
+            say!("    {}", tally.record);
         }
         planned_errors += if course.planned() { tally.asked - tally.served } else { 0 };
         budget = tally.over_budget.unwrap_or(budget);
@@ -292,13 +309,13 @@
     let found = if only.is_empty() { check(bounds, 8) } else { check(Bounds { routers: 1, ..bounds }, 4) };
     let seeded = check(Bounds { routers: 1, wrong_reset: true, ..bounds }, 4);
     if let Some((words, steps)) = &found.wrong {
-        println!("model: {words}: {steps:?}");
+        say!("model: {words}: {steps:?}");
     }
     let model = found.wrong.is_none() && seeded.wrong.is_some();
     sums.iter_mut().zip(more.counts()).for_each(|(sum, count)| *sum += count);
     let broken = more.drains_broken as usize + more.stale as usize + more.astray + usize::from(budget > 1.0);
     let [top_ups, doubled, without, refused, unanswered, late, failed, _] = sums;
-    println!(
+    say!(
         "{}",
         json!({"cases": cases.len() + courses.len(), "did_not_happen": never, "top_ups": top_ups, "rows_doubled": doubled,
             "rows_lost": without, "unanswered": unanswered, "answered_late": late, "served_without_row": without,
@@ -330,10 +347,10 @@
         match outcome {
             Err(error) => {
                 well = false;
-                println!("{name:<22} could not be played: {error}");
+                say!("{name:<22} could not be played: {error}");
             }
             Ok(Outcome { verdict, missed: words, share, .. }) => {
-                println!(
+                say!(
                     "{name:<22} requests {:>5}  served {share:.4}  drains {}  worst {:>6.1} ms  broken {}  stale {}  doubled {}  outside {}{}",
                     verdict.requests,
                     verdict.drains,
@@ -344,7 +361,7 @@
                     verdict.sends_outside,
                     if words.is_empty() { "" } else { "  MISSED" }
                 );
-                words.iter().for_each(|words| println!("    {words}"));
+                words.iter().for_each(|words| say!("    {words}"));
                 missed += usize::from(!words.is_empty());
                 shares.insert(name.clone(), share);
                 whole.requests += verdict.requests;
@@ -361,7 +378,7 @@
     }
     let broken = whole.drains_broken + whole.stale_reads + whole.writes_doubled + whole.sends_outside;
     let rounded = |share: Option<&f64>| share.map(|share| (share * 10_000.0).round() / 10_000.0);
-    println!(
+    say!(
         "{}",
         json!({"scripts": scripts.len(), "missed": missed, "seed": seed, "requests": whole.requests,
             "answered": whole.answered, "drains": whole.drains, "drains_broken": whole.drains_broken,
