--- a/crates/fleet/src/sim.rs
+++ b/crates/fleet/src/sim.rs
@@ -994,6 +994,7 @@
         let trouble = &self.plan.troubles[at];
         if trouble.what == Ill::Surge {
             self.surge = trouble.factor;
+            self.record(What::Trouble, 0, 0, 0, trouble.what as i64, 0);
             if let Some(lasts) = trouble.lasts {
                 self.after(lasts, Event::Over { trouble: at, server: 0, life: 0 });
             }
--- a/crates/lab/src/emulator.rs
+++ b/crates/lab/src/emulator.rs
@@ -1,5 +1,6 @@
 //! The fleet in virtual time, from the command line: a scenario, the library of them, and how large it gets.
 
+use crate::plot::Marks;
 use linnetdeal_fleet::audit::{Auditor, Verdict};
 use linnetdeal_fleet::faults::{self, Fault};
 use linnetdeal_fleet::record::{Log, Record, Sink};
@@ -9,13 +10,14 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-/// Tells two what happens.
-struct Both<'s>(&'s mut Log, &'s mut Auditor);
+/// Tells all of them what happens.
+struct All<'s>(&'s mut Log, &'s mut Auditor, &'s mut Marks);
 
-impl Sink for Both<'_> {
+impl Sink for All<'_> {
     fn take(&mut self, record: Record) {
         self.0.take(record);
         self.1.take(record);
+        self.2.take(record);
     }
 }
 
@@ -92,9 +94,15 @@
 /// Plays a scenario and has it audited.
 #[must_use]
 pub fn play(scenario: &Scenario) -> Played {
+    play_with(scenario, &mut Marks::default())
+}
+
+/// The same, with the troubles marked.
+#[must_use]
+pub fn play_with(scenario: &Scenario, marks: &mut Marks) -> Played {
     let (mut log, mut auditor) = (Log::default(), Auditor::new(sim::rules()));
     let began = Instant::now();
-    let outcome = sim::run(scenario, &mut Both(&mut log, &mut auditor));
+    let outcome = sim::run(scenario, &mut All(&mut log, &mut auditor, marks));
     let took = began.elapsed();
     let verdict = auditor.verdict(outcome.end);
     let mut missed = Vec::new();
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod ledger;
 pub mod model;
 pub mod play;
+pub mod plot;
 pub mod pooler;
 pub mod primary;
 pub mod say;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,7 @@
 use linnetdeal_lab::emulator;
 use linnetdeal_lab::model::{Bounds, check};
 use linnetdeal_lab::play::{Outcome, play, program};
+use linnetdeal_lab::plot;
 use linnetdeal_lab::script::Script;
 use serde_json::json;
 use std::path::{Path, PathBuf};
@@ -89,6 +90,9 @@
         /// Print all records of this request.
         #[arg(long)]
         request: Option<u64>,
+        /// Write a report here: one HTML file with its charts.
+        #[arg(long)]
+        report: Option<PathBuf>,
     },
     /// Plays all scenarios of a folder, twice; seeds faults for the auditor; and tries the largest fleet.
     Emulator {
@@ -121,7 +125,9 @@
             );
             Ok(found.wrong.is_none())
         }
-        Command::Fleet { scenario, seed, request } => fleet(&scenario, seed, request),
+        Command::Fleet { scenario, seed, request, report } => {
+            fleet(&scenario, seed, request, report.as_deref())
+        }
         Command::Emulator { folder, small } => emulator_proof(&folder, small),
         Command::EurekaBench { sizes } => bench(&sizes),
         Command::Demo { seconds } => {
@@ -167,15 +173,24 @@
     done.into_iter().map(|(_, result)| result).collect()
 }
 
-fn fleet(path: &Path, seed: Option<u64>, request: Option<u64>) -> Result<bool, Failure> {
+fn fleet(
+    path: &Path,
+    seed: Option<u64>,
+    request: Option<u64>,
+    report: Option<&Path>,
+) -> Result<bool, Failure> {
     let mut scenario = emulator::load(path)?;
     scenario.seed = seed.unwrap_or(scenario.seed);
     if let Some(request) = request {
         emulator::of_request(&scenario, request).iter().for_each(|record| say!("{record:?}"));
         return Ok(true);
     }
-    let played = emulator::play(&scenario);
+    let mut marks = plot::Marks::default();
+    let played = emulator::play_with(&scenario, &mut marks);
     say!("{}", played.line());
+    if let Some(report) = report {
+        plot::write_whole(report, &plot::report(&played, &marks)?)?;
+    }
     if let Some((rule, record)) = &played.verdict.first {
         say!("    first: {rule:?} by {record:?}");
     }
--- /dev/null
+++ b/crates/lab/tests/report.rs
@@ -0,0 +1,31 @@
+//! A run's report: whole or not there at all, with nothing that a network would have to bring.
+
+use linnetdeal_fleet::scenario::Scenario;
+use linnetdeal_lab::{emulator, plot};
+
+const SMALL: &str = r#"
+name: "small"
+fleet: {members: 3, poolers: 2}
+traffic: {load: 0.3, lasts: "5s"}
+troubles: [{at: "2s", what: "crash", who: "primary"}]
+"#;
+
+#[test]
+fn a_report_is_one_file_with_its_charts_and_marks() {
+    let scenario = Scenario::decode("small.cue", SMALL.as_bytes()).unwrap();
+    let mut marks = plot::Marks::default();
+    let played = emulator::play_with(&scenario, &mut marks);
+    assert_eq!(marks.0, [2.0]);
+    let html = plot::report(&played, &marks).unwrap();
+    assert_eq!((html.matches("<svg").count(), html.contains("rules broken<td>none")), (2, true));
+    let links = html.matches("http").count();
+    assert_eq!(links, html.matches("http://www.w3.org/2000/svg").count(), "names of formats, and no links");
+
+    let folder = std::env::temp_dir().join(format!("linnetdeal-report-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    plot::write_whole(&folder.join("run.html"), &html).unwrap();
+    assert!(plot::write_whole(&folder.join("none/run.html"), &html).is_err(), "no folder, no file");
+    let left: Vec<_> = std::fs::read_dir(&folder).unwrap().map(|entry| entry.unwrap().file_name()).collect();
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert_eq!(left, ["run.html"]);
+}
