Experiments: a scenario over sizes, loads and seeds, resumable, in Parquet, with paired intervals

Need: a design is judged by many seeds and sizes, and by hand that was a loop in a shell. A torn file is told by its name, a part is played again.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod demo;
 pub mod emulator;
 pub mod eureka;
+pub mod experiment;
 pub mod family;
 pub mod ledger;
 pub mod model;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand};
 use linnetdeal_fleet::scenario::Scenario;
 use linnetdeal_lab::emulator;
+use linnetdeal_lab::experiment::{self, Experiment, FIGURES};
 use linnetdeal_lab::model::{Bounds, check};
 use linnetdeal_lab::play::{Outcome, play, program};
 use linnetdeal_lab::plot;
@@ -94,6 +95,24 @@
         #[arg(long)]
         report: Option<PathBuf>,
     },
+    /// Plays what of an experiment is not there yet, on all cores, and compares it with earlier results.
+    Experiment {
+        /// The experiment's file.
+        file: PathBuf,
+        /// The folder of its results.
+        #[arg(long)]
+        out: PathBuf,
+        /// Runs at the same time.
+        #[arg(long, default_value_t = 4)]
+        threads: usize,
+    },
+    /// Says how the results in the second folder differ from those in the first.
+    Compare {
+        /// The first folder.
+        before: PathBuf,
+        /// The second.
+        after: PathBuf,
+    },
     /// Plays all scenarios of a folder, twice; seeds faults for the auditor; and tries the largest fleet.
     Emulator {
         /// The folder.
@@ -128,6 +147,8 @@
         Command::Fleet { scenario, seed, request, report } => {
             fleet(&scenario, seed, request, report.as_deref())
         }
+        Command::Experiment { file, out, threads } => experiment(&file, &out, threads),
+        Command::Compare { before, after } => compare(&before, &after),
         Command::Emulator { folder, small } => emulator_proof(&folder, small),
         Command::EurekaBench { sizes } => bench(&sizes),
         Command::Demo { seconds } => {
@@ -202,6 +223,44 @@
     Ok(played.verdict.broken.is_empty() && played.missed.is_empty())
 }
 
+fn experiment(file: &Path, out: &Path, threads: usize) -> Result<bool, Failure> {
+    let (experiment, scenario) = Experiment::load(file)?;
+    let (played, of) = experiment::play(&experiment, &scenario, out, threads)?;
+    say!("{}: {played} of {of} runs played, the others were there", experiment.name);
+    let results = experiment::read(out)?;
+    let mut cells: Vec<_> = results.iter().map(|(cell, _)| (cell.poolers, cell.load.to_bits())).collect();
+    cells.sort_unstable();
+    cells.dedup();
+    for (poolers, load) in cells {
+        let of = results.iter().filter(|(cell, _)| (cell.poolers, cell.load.to_bits()) == (poolers, load));
+        let count = of.clone().count() as f64;
+        let means = FIGURES.iter().enumerate().map(|(at, name)| {
+            let mean = of.clone().map(|(_, figures)| figures[at]).sum::<f64>() / count;
+            format!("{name} {mean:.4}")
+        });
+        let means: Vec<String> = means.collect();
+        say!("poolers {poolers:>5}  load {:.2}  runs {count}  {}", f64::from_bits(load), means.join("  "));
+    }
+    Ok(true)
+}
+
+fn compare(before: &Path, after: &Path) -> Result<bool, Failure> {
+    for of in experiment::compare(&experiment::read(before)?, &experiment::read(after)?) {
+        let (low, high) = of.between;
+        let sure = if low > 0.0 || high < 0.0 { "  differs" } else { "" };
+        say!(
+            "poolers {:>5}  load {:.2}  {:<18} {:>10.4} -> {:>10.4}  by {low:+.4} to {high:+.4} (95%, {} seeds){sure}",
+            of.of.0,
+            of.of.1,
+            of.figure,
+            of.means.0,
+            of.means.1,
+            of.seeds
+        );
+    }
+    Ok(true)
+}
+
 /// The largest fleet that is tried.
 const LARGEST: &str = r#"
 name: "largest"
