--- a/crates/lab/tests/report.rs
+++ b/crates/lab/tests/report.rs
@@ -29,3 +29,14 @@
     std::fs::remove_dir_all(&folder).unwrap();
     assert_eq!(left, ["run.html"]);
 }
+
+#[test]
+fn every_scenario_of_the_library_can_be_read_and_is_called_as_its_file() {
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios");
+    let library = emulator::library(&folder).unwrap();
+    assert!(library.len() >= 12);
+    for scenario in library {
+        assert!(folder.join(format!("{}.cue", scenario.name)).exists(), "{}", scenario.name);
+        assert!(!scenario.troubles.is_empty() || scenario.name == "calm");
+    }
+}
