A start that lies ahead of our clock does not keep a primary from being shown

Where a box's clock is an hour ahead, that is an hour in which no evidence counts, and its writes and fresh reads wait. Change: the role is voided up to now at the most.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -236,7 +236,7 @@
             m.listed_primary = entry.primary;
             if let Some(at) = entry.started.filter(|_| entry.started > m.started) {
                 m.start(now, at, dice);
-                m.replica_at = m.replica_at.max(at); // It may have come back as another than it was.
+                m.replica_at = m.replica_at.max(at.min(now)); // It may be another now; clocks may be ahead.
             }
         }
         let most = if full { usize::MAX } else { 0 };
--- a/crates/core/src/handover/mod.rs
+++ b/crates/core/src/handover/mod.rs
@@ -234,9 +234,9 @@
         }
     }
 
-    /// Takes in what is known by now: when the mark was last shown as the primary, if nothing speaks against it; whether it is told to drain;
-    /// and so many requests wait. Whether a primary is shown after there
-    /// was none, or another one; where that ends a change, its length is learned.
+    /// Takes in what is known by now: when the mark was last shown as the primary, if nothing speaks against it; whether it
+    /// is told to drain; and how many requests wait. Gives whether a primary is shown after there was none, or another one;
+    /// where that ends a change, its length is learned.
     pub fn look(
         &mut self,
         now: Time,
--- a/crates/core/tests/primary.rs
+++ b/crates/core/tests/primary.rs
@@ -268,6 +268,17 @@
     assert_eq!(sends(&host.probed(1, true, 1)).len(), 1);
 }
 
+#[test]
+fn a_start_that_lies_ahead_of_our_clock_does_not_keep_a_primary_from_being_shown() {
+    let mut host = Host::new(Settings { cold_share: 1.0, ..settings() }, 3);
+    host.probed(1, true, 0);
+    let ahead = Entry { started: Some(host.now + Span::millis(3_600_000)), ..entry(1) };
+    host.tell(Event::List(Listing::Changes(vec![ahead])));
+    host.now = host.now + Span::millis(1_000);
+    host.probed(1, true, 1);
+    assert_eq!(sends(&host.ask(FRESH).1), [member(1)]);
+}
+
 #[test]
 fn a_report_from_before_the_change_does_not_undo_an_answer_from_behind_it() {
     let mut host = with_changes_seen();
