A load tool, open-loop, and what the pooler itself costs a request

linnetdeal-lab load draws arrivals from a seed, at a rate or a ramp, and counts each request's time from when it was due, so that a target that stands still shows all who waited for it; per class and in HDR histograms, with requests no session was free for told apart. make -s bench-cost puts one session and then 16 on a box directly and through the pooler in five turns.

The lab's clients share their connection's code with it.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The common tasks. CONFIG names the configuration for `make run`.
 CONFIG ?= config.json
 
-.PHONY: build test lint run ci lab proof-eureka bench-eureka proof-primary proof-emulator demo
+.PHONY: build test lint run ci lab proof-eureka bench-eureka proof-primary proof-emulator bench-cost demo
 
 build:
 	cargo build --locked --release
@@ -40,6 +40,10 @@
 proof-emulator: lab
 	target/release/linnetdeal-lab emulator
 
+# What the pooler adds to a request in time and CPU, against boxes that answer at once; the last line is one JSON object.
+bench-cost: lab
+	target/release/linnetdeal-lab cost
+
 # A registry, boxes, a pooler and a client on loopback, to look at. Ends on Ctrl-C or after DEMO_S seconds.
 demo: lab
 	target/release/linnetdeal-lab demo --seconds $(or $(DEMO_S),0)
--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -58,14 +58,11 @@
 
 /// One client.
 pub struct Client {
-    address: SocketAddr,
     session: String,
     asked: u64,
     deadline: Duration,
     rng: ChaCha8Rng,
-    stream: Option<TcpStream>,
-    read: Vec<u8>,
-    told: Option<Duration>,
+    wire: Wire,
 }
 
 impl Client {
@@ -73,16 +70,7 @@
     #[must_use]
     pub fn new(address: SocketAddr, at: usize, seed: u64) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(seed ^ at as u64);
-        Self {
-            address,
-            session: format!("acc{at}"),
-            asked: 0,
-            deadline: DEADLINE,
-            rng,
-            stream: None,
-            read: Vec::new(),
-            told: None,
-        }
+        Self { session: format!("acc{at}"), asked: 0, deadline: DEADLINE, rng, wire: Wire::to(address) }
     }
 
     /// The same, waiting so long for each answer.
@@ -95,7 +83,7 @@
     /// When to come back, as the last refusal told.
     #[must_use]
     pub fn told(&self) -> Option<Duration> {
-        self.told
+        self.wire.told
     }
 
     /// The id of what it asked last.
@@ -106,24 +94,16 @@
 
     /// Asks once, for a class by chance; what became of it is in the ledger.
     pub fn ask(&mut self, ledger: &Mutex<Ledger>) -> String {
-        let dice = self.rng.next_u32() % 100;
-        let class = [(41, 0), (65, 1), (85, 2), (89, 3)].into_iter().find(|(below, _)| dice < *below);
-        self.ask_for(class.map_or(4, |(_, class)| class), ledger)
+        let class = class_of(self.rng.next_u32() % 100);
+        self.ask_for(class, ledger)
     }
 
     /// Asks once for a class.
     pub fn ask_for(&mut self, class: usize, ledger: &Mutex<Ledger>) -> String {
         self.asked += 1;
         let id = self.last_id();
-        let (session, name, ms) = (&self.session, CLASSES[class], self.deadline.as_millis());
-        let comment = format!("/* id={id},c={name},d={ms},cluster=2 */");
-        let statement = if class == 4 {
-            format!(
-                "INSERT INTO kv (name, content) VALUES ('{session}', '\\x01') RETURNING content {comment}"
-            )
-        } else {
-            format!("SELECT content FROM kv WHERE name = '{session}' {comment}")
-        };
+        let session = &self.session;
+        let statement = statement(class, session, &id, self.deadline);
         let needed = match class {
             0 => now_ms() - 1_500,
             1 => lock(ledger).must_see(session, false),
@@ -132,10 +112,10 @@
         };
         let part = lock(ledger).asked();
         let end = Instant::now() + self.deadline;
-        let (how, value) = match self.exchange(&statement, end) {
+        let (how, value) = match self.wire.exchange(&statement, end) {
             Ok(answer) => answer,
             Err(error) => {
-                self.stream = None;
+                self.wire.close();
                 (format!("broken: {error}"), None)
             }
         };
@@ -150,24 +130,80 @@
         }
         how
     }
+}
+
+/// The class that a number below 100 draws: two fifths bounded reads, a ninth writes.
+#[must_use]
+pub fn class_of(dice: u32) -> usize {
+    let class = [(41, 0), (65, 1), (85, 2), (89, 3)].into_iter().find(|(below, _)| dice < *below);
+    class.map_or(4, |(_, class)| class)
+}
+
+/// What a client of a session asks.
+#[must_use]
+pub fn statement(class: usize, session: &str, id: &str, deadline: Duration) -> String {
+    let (name, ms) = (CLASSES[class], deadline.as_millis());
+    let comment = format!("/* id={id},c={name},d={ms},cluster=2 */");
+    if class == 4 {
+        format!("INSERT INTO kv (name, content) VALUES ('{session}', '\\x01') RETURNING content {comment}")
+    } else {
+        format!("SELECT content FROM kv WHERE name = '{session}' {comment}")
+    }
+}
+
+/// A client's connection, opened when something is asked.
+pub struct Wire {
+    address: SocketAddr,
+    stream: Option<TcpStream>,
+    read: Vec<u8>,
+    /// When to come back, as the last refusal told.
+    pub told: Option<Duration>,
+}
+
+impl Wire {
+    /// One to this address.
+    #[must_use]
+    pub fn to(address: SocketAddr) -> Self {
+        Self { address, stream: None, read: Vec::new(), told: None }
+    }
 
-    fn exchange(&mut self, statement: &str, end: Instant) -> std::io::Result<(String, Option<String>)> {
+    /// Closes it; what is asked next opens another.
+    pub fn close(&mut self) {
+        self.stream = None;
+    }
+
+    /// Asks, and says how it was answered, with the row's value. It waits until 100 ms past `end`.
+    ///
+    /// # Errors
+    ///
+    /// When no answer comes. The connection should be closed then: the answer may still come on it.
+    pub fn exchange(&mut self, statement: &str, end: Instant) -> std::io::Result<(String, Option<String>)> {
         let mut out = Vec::new();
-        if self.stream.is_none() {
-            let stream = TcpStream::connect(self.address)?;
-            stream.set_nodelay(true)?;
-            self.stream = Some(stream);
-            self.read.clear();
-            write::startup(&mut out, "backend", "store");
-            self.write(&out)?;
-            self.answer(end)?;
-        }
-        out.clear();
+        self.open(end)?;
         write::query(&mut out, statement);
         self.write(&out)?;
         self.answer(end)
     }
 
+    /// Opens the connection if there is none.
+    ///
+    /// # Errors
+    ///
+    /// When nobody listens or answers.
+    pub fn open(&mut self, end: Instant) -> std::io::Result<()> {
+        if self.stream.is_some() {
+            return Ok(());
+        }
+        let stream = TcpStream::connect(self.address)?;
+        stream.set_nodelay(true)?;
+        self.stream = Some(stream);
+        self.read.clear();
+        let mut out = Vec::new();
+        write::startup(&mut out, "backend", "store");
+        self.write(&out)?;
+        self.answer(end).map(drop)
+    }
+
     fn write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
         self.stream
             .as_mut()
--- /dev/null
+++ b/crates/lab/src/cost.rs
@@ -0,0 +1,143 @@
+//! What the pooler itself costs a request: the same load on a box directly and through the pooler, in turns within
+//! one run, so that the difference is the pooler's and not the machine's mood.
+
+use crate::boxes::{Log, StandIn};
+use crate::ledger::Ledger;
+use crate::load::{Load, LoadError, OfClass, Pace};
+use crate::pooler::Pooler;
+use serde_json::{Value, json};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Turns of each kind.
+const ROUNDS: u64 = 5;
+const LASTS: Duration = Duration::from_millis(2_500);
+const WARM: Duration = Duration::from_millis(500);
+
+/// CPU time of all threads of a process.
+///
+/// # Errors
+///
+/// When the system does not tell.
+pub fn cpu(process: u32) -> io::Result<Duration> {
+    let mut sum = Duration::ZERO;
+    for thread in std::fs::read_dir(format!("/proc/{process}/task"))? {
+        let text = std::fs::read_to_string(thread?.path().join("schedstat"))?;
+        let ns = text.split_ascii_whitespace().next().and_then(|text| text.parse().ok());
+        sum += Duration::from_nanos(ns.ok_or_else(|| io::Error::other("no schedstat"))?);
+    }
+    Ok(sum)
+}
+
+/// What was measured.
+#[derive(Clone, Debug, Default)]
+pub struct Cost {
+    direct: OfClass,
+    pooler: OfClass,
+    /// With 16 sessions that ask as fast as they are answered: the pooler's CPU and what was served.
+    cpu: Duration,
+    crowd: OfClass,
+    crowd_s: f64,
+    wrong: u64,
+}
+
+impl Cost {
+    /// The last line.
+    #[must_use]
+    pub fn line(&self) -> Value {
+        let quantile = |of: &OfClass, q| of.written.value_at_quantile(q);
+        let cpu = self.cpu.as_secs_f64() * 1e6 / self.crowd.asked().max(1) as f64;
+        let (direct, pooler) = (quantile(&self.direct, 0.5), quantile(&self.pooler, 0.5));
+        json!({"direct_p50_us": direct, "pooler_p50_us": pooler,
+            "added_p50_us": pooler as i64 - direct as i64,
+            "added_p99_us": quantile(&self.pooler, 0.99) as i64 - quantile(&self.direct, 0.99) as i64,
+            "cpu_us_per_request": (cpu * 10.0).round() / 10.0,
+            "requests_per_s_core": (1e6 / cpu).round(),
+            "served_per_s": (self.crowd.served() as f64 / self.crowd_s).round(),
+            "not_served": self.wrong})
+    }
+
+    /// Whether all was served: a cost of refusals would be none.
+    #[must_use]
+    pub fn good(&self) -> bool {
+        self.wrong == 0 && self.crowd.served() > 0
+    }
+}
+
+/// Measures with the program at `program`; boxes answer at once.
+///
+/// # Errors
+///
+/// When something can't be started or asked.
+pub fn measure(program: &Path, mut each: impl FnMut(&str)) -> Result<Cost, CostError> {
+    let (log, ledger) = (Arc::<Log>::default(), Arc::<Mutex<Ledger>>::default());
+    let inside = IpAddr::V4(Ipv4Addr::new(127, 10, 0, 1));
+    let boxes = (1..=3).map(|at| {
+        StandIn::start(&format!("s-{at}"), inside, at == 1, Duration::ZERO, log.clone(), ledger.clone())
+    });
+    let boxes = boxes.collect::<io::Result<Vec<_>>>()?;
+    let instances: Vec<Value> = boxes
+        .iter()
+        .enumerate()
+        .map(|(at, one)| {
+            json!({"instanceId": one.name, "hostPort": one.address.to_string(), "zone": "adum", "machineType": "m1",
+                "cell": 2, "lifecycle": "up", "weight": 1.0, "startedAtMs": 0,
+                "part": if at == 0 { "master" } else { "replica" }})
+        })
+        .collect();
+    let known = json!({"generation": 1, "reset": true, "instances": instances});
+    let pooler = Pooler::start(program, None, &known)?;
+    let load = |to: SocketAddr, seed| Load {
+        to,
+        sessions: 1,
+        pace: Pace::Closed,
+        lasts: LASTS,
+        warm: WARM,
+        deadline: Duration::from_secs(1),
+        writes: None,
+        seed,
+    };
+    let mut cost = Cost::default();
+    for round in 0..ROUNDS {
+        let direct = load(boxes[0].address, round).play()?.all();
+        let through = load(pooler.address, round).play()?.all();
+        let before = cpu(pooler.id())?;
+        // No time to warm: all that the CPU time went to is counted.
+        let crowd =
+            Load { sessions: 16, warm: Duration::ZERO, ..load(pooler.address, round + 100) }.play()?;
+        let used = cpu(pooler.id())?.saturating_sub(before);
+        cost.crowd_s += crowd.counted.as_secs_f64();
+        let crowd = crowd.all();
+        each(&format!(
+            "round {round}  direct p50 {:>4} p99 {:>5} us  pooler p50 {:>4} p99 {:>5} us  {:.1} us CPU a request at {} a second",
+            direct.written.value_at_quantile(0.5),
+            direct.written.value_at_quantile(0.99),
+            through.written.value_at_quantile(0.5),
+            through.written.value_at_quantile(0.99),
+            used.as_secs_f64() * 1e6 / crowd.asked().max(1) as f64,
+            crowd.served() * 1_000 / LASTS.as_millis() as u64
+        ));
+        cost.cpu += used;
+        for (sum, one) in
+            [(&mut cost.direct, &direct), (&mut cost.pooler, &through), (&mut cost.crowd, &crowd)]
+        {
+            cost.wrong += one.asked() - one.served();
+            sum.add(one);
+        }
+    }
+    Ok(cost)
+}
+
+/// Why nothing was measured.
+#[derive(Debug, thiserror::Error)]
+pub enum CostError {
+    /// The stand-ins or the pooler.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    /// The load.
+    #[error("{0}")]
+    Load(#[from] LoadError),
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,12 +5,14 @@
 pub mod boxes;
 pub mod changes;
 pub mod clients;
+pub mod cost;
 pub mod demo;
 pub mod emulator;
 pub mod eureka;
 pub mod experiment;
 pub mod family;
 pub mod ledger;
+pub mod load;
 pub mod model;
 pub mod play;
 pub mod plot;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,16 +2,20 @@
 
 use clap::{Parser, Subcommand};
 use linnetdeal_fleet::scenario::Scenario;
+use linnetdeal_lab::clients::CLASSES;
 use linnetdeal_lab::emulator;
 use linnetdeal_lab::experiment::{self, Experiment, FIGURES};
+use linnetdeal_lab::load::{Load, OfClass, Pace};
 use linnetdeal_lab::model::{Bounds, check};
 use linnetdeal_lab::play::{Outcome, play, program};
 use linnetdeal_lab::plot;
 use linnetdeal_lab::script::Script;
 use serde_json::json;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Mutex;
+use std::time::Duration;
 
 /// Prints a line. Who reads may have left: then there is nobody to print for, and no reason to end otherwise than so.
 macro_rules! say {
@@ -122,6 +126,37 @@
         #[arg(long)]
         small: bool,
     },
+    /// Puts load on a pooler, or on a box directly; times count from when a request was due.
+    Load {
+        /// Where to, as address:port.
+        to: SocketAddr,
+        /// Requests a second; without it, each session asks as soon as it is answered.
+        #[arg(long)]
+        rate: Option<f64>,
+        /// The rate at the end, which it goes to evenly.
+        #[arg(long, requires = "rate")]
+        ramp_to: Option<f64>,
+        /// How many sessions ask, each on a connection of its own.
+        #[arg(long, default_value_t = 16)]
+        sessions: usize,
+        /// How long, in seconds.
+        #[arg(long, default_value_t = 10.0)]
+        seconds: f64,
+        /// What is asked so long at the beginning is not counted, in seconds.
+        #[arg(long, default_value_t = 0.0)]
+        warm: f64,
+        /// How long a request waits, in ms.
+        #[arg(long, default_value_t = 1_000)]
+        deadline: u64,
+        /// The part of writes, from 0 to 1; a mix of five classes without it.
+        #[arg(long)]
+        writes: Option<f64>,
+        /// For gaps and classes.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Measures what the pooler itself adds to a request, in time and in CPU.
+    Cost,
     /// A registry, boxes, a pooler and clients on loopback, to look at.
     Demo {
         /// Ends after so many seconds; 0 is for ever.
@@ -151,6 +186,14 @@
         Command::Compare { before, after } => compare(&before, &after),
         Command::Emulator { folder, small } => emulator_proof(&folder, small),
         Command::EurekaBench { sizes } => bench(&sizes),
+        Command::Load { to, rate, ramp_to, sessions, seconds, warm, deadline, writes, seed } => {
+            let pace = rate.map_or(Pace::Closed, |rate| Pace::Open(rate, ramp_to.unwrap_or(rate)));
+            let span = |of: f64| Duration::try_from_secs_f64(of).unwrap_or(Duration::ZERO);
+            let deadline = Duration::from_millis(deadline);
+            let (lasts, warm) = (span(seconds), span(warm));
+            load(&Load { to, sessions, pace, lasts, warm, deadline, writes, seed })
+        }
+        Command::Cost => cost(),
         Command::Demo { seconds } => {
             linnetdeal_lab::demo::run(&program(), seconds).map(|()| true).map_err(Failure::from)
         }
@@ -223,6 +266,38 @@
     Ok(played.verdict.broken.is_empty() && played.missed.is_empty())
 }
 
+fn load(load: &Load) -> Result<bool, Failure> {
+    let result = load.play()?;
+    let line = |name: &str, of: &OfClass| {
+        let mut words = format!("{name:<14} asked {:>8}  served {:>8}", of.asked(), of.served());
+        for (what, times) in [("from due", &of.due), ("from written", &of.written)] {
+            let [p50, p90, p99, p999] = [0.5, 0.9, 0.99, 0.999].map(|q| times.value_at_quantile(q));
+            words += &format!("  {what} p50 {p50} p90 {p90} p99 {p99} p99.9 {p999} max {} us", times.max());
+        }
+        words
+    };
+    for (name, of) in CLASSES.iter().zip(&result.classes).filter(|(_, of)| of.asked() > 0) {
+        say!("{}", line(name, of));
+    }
+    let all = result.all();
+    say!("{}", line("all", &all));
+    say!(
+        "{}",
+        json!({"seed": load.seed, "asked": all.asked(), "answers": all.answers, "never_sent": result.never_sent,
+            "served_per_s": result.per_second().round(), "p50_us": all.due.value_at_quantile(0.5),
+            "p99_us": all.due.value_at_quantile(0.99), "p999_us": all.due.value_at_quantile(0.999),
+            "from_written_p50_us": all.written.value_at_quantile(0.5),
+            "from_written_p99_us": all.written.value_at_quantile(0.99)})
+    );
+    Ok(all.asked() > 0)
+}
+
+fn cost() -> Result<bool, Failure> {
+    let cost = linnetdeal_lab::cost::measure(&program(), |words| say!("{words}"))?;
+    say!("{}", cost.line());
+    Ok(cost.good())
+}
+
 fn experiment(file: &Path, out: &Path, threads: usize) -> Result<bool, Failure> {
     let (experiment, scenario) = Experiment::load(file)?;
     let (played, of) = experiment::play(&experiment, &scenario, out, threads)?;
