Kept connections carry reads at once, with an empty query behind the last request

Each reuse of a kept connection waited for an empty query's answer: a round trip, a write, a read and a wake on every request. It guards against connections closed without a sign, against noise behind an answer, and against machines that vanished.

The empty query now goes behind each request in the same write, and its answer is read with the look at the next reuse: a server answers in order, so that noise is found with nothing sent on it yet. Connection is a file of its own.

The story of a server that sends a copy in front of the empty query's answer, and the one of connections that die unseen, are in the sockets' tests.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod membership;
 pub mod settings;
 mod state;
+pub mod trust;
 
 pub use choice::Router;
 pub use interface::*;
--- a/crates/daemon/tests/peers/mod.rs
+++ b/crates/daemon/tests/peers/mod.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// More has come along with what was read last.
+    pub fn has_more(&self) -> bool {
+        !self.read.is_empty()
+    }
+
     /// The next message; `None` once the other side has closed.
     pub fn message(&mut self) -> Option<(u8, Vec<u8>)> {
         loop {
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -251,6 +251,61 @@
     assert!(counters.contains(" unsettled=2 ") && counters.contains(" outcome.reset=0 "), "{counters}");
 }
 
+#[test]
+fn what_a_server_sends_too_much_later_on_is_nobodys_answer() {
+    // The copy of an answer comes long after it, in front of what follows; the next request may be on its way.
+    let last = Mutex::new(String::new());
+    let server = Server::raw("s-1", move |wire, statement| {
+        if statement.is_empty() {
+            wire.row(last.lock().unwrap().as_bytes(), "replica", NOW_MS);
+            wire.put(b"I\0\0\0\x04Z\0\0\0\x05I");
+        } else {
+            let id = statement.split_once("id=").unwrap().1.split_once(',').unwrap().0;
+            id.clone_into(&mut last.lock().unwrap());
+            wire.row(id.as_bytes(), "replica", NOW_MS);
+        }
+        true
+    });
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let mut client = Client::connect(&pooler);
+    for id in 0..40 {
+        let id = id.to_string();
+        assert_eq!(client.ask(&menu(&id)).value.as_deref(), Some(id.as_bytes()));
+    }
+    assert_eq!(server.got().len(), 40);
+    let counters = pooler.counters();
+    assert!(counters.contains(" outcome.ok=40 ") && !counters.contains(" unsettled=0 "), "{counters}");
+}
+
+#[test]
+fn reads_may_find_one_kept_connection_dead_and_then_all_are_asked_first() {
+    // The server gives a connection up once it has answered there, and shows it to whoever sends more on it; only
+    // the empty query behind the answer still finds it well.
+    let server = Server::raw("s-1", |wire, statement| {
+        // What came along with the statement is still answered.
+        let more = wire.has_more();
+        if statement.is_empty() {
+            wire.put(b"I\0\0\0\x04Z\0\0\0\x05I");
+        } else {
+            wire.row(b"done", "replica", NOW_MS);
+        }
+        if !more {
+            wire.message();
+        }
+        more
+    });
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let mut client = Client::connect(&pooler);
+    for id in 0..30 {
+        assert_eq!(client.ask(&menu(&id.to_string())).value.as_deref(), Some(&b"done"[..]));
+    }
+    let counters = pooler.counters();
+    let resets = [" outcome.reset=0 ", " outcome.reset=1 "];
+    assert!(resets.iter().any(|of| counters.contains(of)), "{counters}");
+}
+
 #[test]
 fn a_member_that_does_not_answer_a_dial_is_unreachable_and_nothing_ran_there() {
     let (open, opened) = channel::<()>();
--- a/crates/net/src/buffer.rs
+++ b/crates/net/src/buffer.rs
@@ -40,6 +40,26 @@
     ///
     /// When reading fails.
     pub async fn fill(&mut self, stream: &Async<TcpStream>) -> io::Result<usize> {
+        self.make_room();
+        let mut stream = stream;
+        let count = stream.read(&mut self.bytes[self.to..]).await?;
+        self.to += count;
+        Ok(count)
+    }
+
+    /// Reads once what is there already; the count is 0 at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// When reading fails, or nothing is there.
+    pub fn fill_now(&mut self, mut stream: &TcpStream) -> io::Result<usize> {
+        self.make_room();
+        let count = stream.read(&mut self.bytes[self.to..])?;
+        self.to += count;
+        Ok(count)
+    }
+
+    fn make_room(&mut self) {
         if self.to == self.bytes.len() {
             if self.from > 0 {
                 self.bytes.copy_within(self.from..self.to, 0);
@@ -48,10 +68,6 @@
                 self.bytes.resize((2 * self.bytes.len()).max(FIRST), 0);
             }
         }
-        let mut stream = stream;
-        let count = stream.read(&mut self.bytes[self.to..]).await?;
-        self.to += count;
-        Ok(count)
     }
 
     /// Takes the first `count` bytes out with the buffer that they stand in, so that they outlive further
--- a/crates/net/src/config.rs
+++ b/crates/net/src/config.rs
@@ -173,6 +173,12 @@
     Duration::from_micros(u64::try_from(span.0).unwrap_or(0))
 }
 
+/// The time as the module has it.
+#[must_use]
+pub fn span_of(time: Duration) -> Span {
+    Span(i64::try_from(time.as_micros()).unwrap_or(i64::MAX))
+}
+
 /// A list of servers, or the changes since an earlier one.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct ServerList {
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -66,7 +66,7 @@
     /// The seats of the connections.
     pub(crate) seats: Rc<Seats>,
     /// The classes by name.
-    pub(crate) classes: Vec<(String, Need)>,
+    pub(crate) classes: Vec<(String, Need, Effect)>,
     /// Writes whose outcome nobody knows.
     pub(crate) doubts: Rc<Doubts>,
     /// The longest deadline of any class.
@@ -96,7 +96,7 @@
                 yield_now().await;
             }
             // Out of descriptors: neither spin nor end. An idle connection is let go to make room.
-            Some(Err(error)) if super::upstream::shortage(&error) => {
+            Some(Err(error)) if super::connection::shortage(&error) => {
                 door.counters.short.add();
                 if !door.pool.close_one_idle() {
                     door.seats.ask_one_to_go(Rank::Parting..=Rank::Idle);
@@ -358,10 +358,14 @@
                         let open = OpenId::enter(self.door, comment.id);
                         if let (Some(asked), Some(open)) = (asked, open) {
                             let wait = comment.wait_at.clone();
+                            let once = self.door.classes[asked.class.0].2 == Effect::Unsafe;
                             let (bytes, at) = self.buffer.detach(size);
                             let whole = at.start + 5..at.end;
                             let wait = wait.start + whole.start..wait.end + whole.start;
-                            return Ok(Command::Request(asked.with(Statement { bytes, whole, wait }), open));
+                            return Ok(Command::Request(
+                                asked.with(Statement { bytes, whole, wait, once }),
+                                open,
+                            ));
                         }
                         rejected = Some(("42601", "no class of this site, or an id in use".to_owned()));
                     }
@@ -402,7 +406,7 @@
             Cut::ProcessEnds
         };
         let answer = serve(&door.driver, &*door.pool, &asked, or(left, ending)).await;
-        let (class, need) = &door.classes[asked.class.0];
+        let (class, need, _) = &door.classes[asked.class.0];
         if let (Final::Failed { at: Some(at) }, Need::Write) = (&answer, need) {
             door.doubts.add(id, class, Some(at.clone()), door.driver.clock.now());
         }
@@ -474,7 +478,7 @@
 impl Door {
     /// The request that a statement makes; `None` if its class is unknown.
     fn asked(&self, statement: &str, comment: &pg::Comment<'_>) -> Option<Asked<()>> {
-        let at = self.classes.iter().position(|(name, _)| name == comment.class)?;
+        let at = self.classes.iter().position(|(name, ..)| name == comment.class)?;
         let longest = Span(i64::try_from(self.longest_deadline.as_micros()).unwrap_or(i64::MAX));
         let keyed = matches!(self.classes[at].1, Need::Write | Need::Session);
         let session = pg::key(statement).filter(|_| keyed).map(|key| {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod buffer;
 pub mod clock;
 pub mod config;
+mod connection;
 pub mod counters;
 pub mod discovery;
 pub mod doubts;
@@ -73,7 +74,12 @@
         let members = Rc::new(Members::default());
         let executor = Rc::new(LocalExecutor::new());
         let (probes, wanted) = async_channel::unbounded();
-        let classes = config.settings.classes.iter().map(|class| (class.name.clone(), class.need)).collect();
+        let classes = config
+            .settings
+            .classes
+            .iter()
+            .map(|class| (class.name.clone(), class.need, class.effect))
+            .collect();
         let router = Router::new(config.seed, config.settings);
         let driver = Rc::new(Driver::new(router, counters.clone(), probes));
         let longest_deadline = config.host.longest_deadline;
--- a/crates/net/src/upstream.rs
+++ b/crates/net/src/upstream.rs
@@ -1,19 +1,21 @@
 //! Connections to servers: opened when none is free, reused last in first out, within a budget.
 
 use super::buffer::{ReadBuffer, write_all};
+use super::connection::{Budget, Connection, Look, Lost, MARK, Permit, shortage};
 use super::counters::Counters;
 use super::members::Members;
-use super::pg::{self, Code, Notes, Part, PgError};
+use super::pg::{self, Code, Notes, Part};
 use super::request::{Carrier, Ended};
-use crate::config::HostSettings;
+use crate::config::{HostSettings, span_of};
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::future::or;
+use linnetdeal_core::trust::{Reuse, Trust};
 use linnetdeal_core::*;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -33,13 +35,10 @@
 /// What a server sends too much comes just behind an answer, and must not be taken for the next: a connection
 /// rests for this long after one while there are others.
 const RESTED: Duration = Duration::from_millis(20);
-/// An empty query. A kept connection has to answer it, with nothing before that and nothing behind, before it
-/// carries a request: some are closed without a sign of it until the next write, which would be lost.
-const PING: &[u8] = b"Q\0\0\0\x05\0";
 /// After so many kept connections that did not, a new one is opened; and at once where one stays silent for so
 /// long, ten times what the farthest servers take: others may still answer.
-const MOST_PINGS: usize = 2;
-const PING_WAIT: Duration = Duration::from_millis(25);
+const MOST_ASKED: usize = 2;
+const ASKED_WAIT: Duration = Duration::from_millis(25);
 
 /// A statement of a client, in the buffer that it was read into. Only the wait is rewritten for an attempt.
 #[derive(Debug)]
@@ -50,6 +49,8 @@
     pub whole: Range<usize>,
     /// The digits of the wait in it.
     pub wait: Range<usize>,
+    /// It must not run twice: what is lost of it can't be sent again.
+    pub once: bool,
 }
 
 /// A server's answer, in the buffer that it was read into.
@@ -66,50 +67,6 @@
     }
 }
 
-/// How many connections there may be, and are.
-#[derive(Debug)]
-struct Budget {
-    used: Cell<usize>,
-    most: usize,
-    freed: Event,
-}
-
-/// The right to one connection.
-#[derive(Debug)]
-struct Permit(Rc<Budget>);
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.0.used.set(self.0.used.get() - 1);
-        self.0.freed.notify(1);
-    }
-}
-
-#[derive(Debug)]
-struct Connection {
-    // Declared first: the descriptor is closed before the budget learns of it.
-    stream: Async<TcpStream>,
-    address: SocketAddr,
-    buffer: ReadBuffer,
-    idle_since: Instant,
-    _permit: Permit,
-}
-
-impl Connection {
-    /// Whether an idle connection can carry a request: to where the member listens, open, and with nothing
-    /// unread.
-    fn usable(&self, address: Option<SocketAddr>, longest: Duration) -> bool {
-        let silent = match self.stream.get_ref().peek(&mut [0]) {
-            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
-            Ok(_) => false,
-        };
-        silent
-            && address == Some(self.address)
-            && self.buffer.data().is_empty()
-            && self.idle_since.elapsed() < longest
-    }
-}
-
 /// What `work` gives within a time limit.
 async fn bounded<T>(longest: Duration, work: impl Future<Output = Result<T, Lost>>) -> Result<T, Lost> {
     let limit = async {
@@ -119,33 +76,6 @@
     or(work, limit).await
 }
 
-impl Connection {
-    /// Has an empty query answered, with nothing before the answer and nothing behind it.
-    async fn settle(&mut self) -> Result<(), Lost> {
-        write_all(&self.stream, &[PING]).await?;
-        let mut empty = false;
-        loop {
-            while let Some(message) = pg::server_message(self.buffer.data())? {
-                let (tag, size) = (message.tag, message.size);
-                let ready = tag == b'Z' && empty && pg::ready(message.body);
-                match tag {
-                    b'I' if !empty => empty = true,
-                    b'S' | b'N' if empty => {}
-                    _ if ready => {}
-                    _ => return Err(Lost::Broken),
-                }
-                self.buffer.consume(size);
-                if ready {
-                    return if self.buffer.data().is_empty() { Ok(()) } else { Err(Lost::Broken) };
-                }
-            }
-            if self.buffer.fill(&self.stream).await? == 0 {
-                return Err(Lost::Broken);
-            }
-        }
-    }
-}
-
 /// How far an attempt has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
@@ -159,43 +89,6 @@
     Sent,
 }
 
-/// Why no answer came.
-enum Lost {
-    /// No descriptor or port was to be had here.
-    Short,
-    /// Nobody listens.
-    Down,
-    /// Nobody answers.
-    Silent,
-    /// The connection broke: somebody was there.
-    Broken,
-    /// The member is not to be sent anything new.
-    Withdrawn,
-    /// The server said no before the query.
-    Said(Code),
-}
-
-impl From<io::Error> for Lost {
-    /// What this machine ran out of says nothing of the member.
-    fn from(error: io::Error) -> Self {
-        if shortage(&error) { Self::Short } else { Self::Broken }
-    }
-}
-
-impl From<PgError> for Lost {
-    fn from(_: PgError) -> Self {
-        Self::Broken
-    }
-}
-
-/// Whether an error tells that this machine is out of descriptors, memory or ports.
-#[must_use]
-pub fn shortage(error: &io::Error) -> bool {
-    use rustix::io::Errno;
-    let own = [Errno::MFILE, Errno::NFILE, Errno::NOMEM, Errno::NOBUFS, Errno::ADDRNOTAVAIL];
-    Errno::from_io_error(error).is_some_and(|errno| own.contains(&errno))
-}
-
 /// What was read up to ReadyForQuery, or until the server ended the connection.
 struct Exchange {
     verdict: Verdict,
@@ -217,6 +110,8 @@
     host: HostSettings,
     budget: Rc<Budget>,
     idle: RefCell<HashMap<MemberId, VecDeque<Connection>>>,
+    trust: RefCell<Trust>,
+    started: Instant,
 }
 
 impl Pool {
@@ -224,7 +119,15 @@
     #[must_use]
     pub fn new(members: Rc<Members>, counters: Rc<Counters>, host: HostSettings, most: usize) -> Self {
         let budget = Rc::new(Budget { used: Cell::new(0), most, freed: Event::new() });
-        Self { members, counters, host, budget, idle: RefCell::default() }
+        Self {
+            members,
+            counters,
+            host,
+            budget,
+            idle: RefCell::default(),
+            trust: RefCell::default(),
+            started: Instant::now(),
+        }
     }
 
     fn longest_idle(&self) -> Duration {
@@ -238,9 +141,10 @@
             let longest = self.longest_idle();
             self.idle.borrow_mut().retain(|member, connections| {
                 let address = self.members.address(member).filter(|_| self.members.in_service(member));
-                connections.retain(|one| one.usable(address, longest));
+                connections.retain_mut(|one| one.look(address, longest) == Look::Good);
                 !connections.is_empty()
             });
+            self.trust.borrow_mut().forget(self.now());
         }
     }
 
@@ -251,15 +155,30 @@
         oldest.is_some_and(|of| of.pop_front().is_some())
     }
 
+    /// On the clock of [`Trust`], which only counts differences.
+    fn now(&self) -> Time {
+        Time(0) + span_of(self.started.elapsed())
+    }
+
     fn put_back(&self, member: &MemberId, mut connection: Connection) {
-        if !connection.buffer.data().is_empty() || !self.members.in_service(member) {
+        if !self.members.in_service(member) {
             return;
         }
-        connection.buffer.rest();
+        match connection.take() {
+            Ok(true) => connection.buffer.rest(),
+            Ok(false) => {}
+            Err(_) => return self.doubt(member, Reuse::Asked),
+        }
         connection.idle_since = Instant::now();
         self.idle.borrow_mut().entry(member.clone()).or_default().push_back(connection);
     }
 
+    /// A kept connection broke, fell silent or brought what was nobody's.
+    fn doubt(&self, member: &MemberId, used: Reuse) {
+        self.counters.unsettled.add();
+        self.trust.borrow_mut().broke(member, self.now(), used);
+    }
+
     /// A free connection; the latest used first, so that the others can grow old and go, but for those that
     /// have only just brought an answer.
     fn free(&self, member: &MemberId) -> Option<Connection> {
@@ -267,10 +186,12 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(member)?;
         loop {
-            let settled = connections.iter().rposition(|one| one.idle_since.elapsed() >= RESTED);
-            let connection = connections.remove(settled.or(connections.len().checked_sub(1))?)?;
-            if connection.usable(address, self.longest_idle()) {
-                return Some(connection);
+            let rested = connections.iter().rposition(|one| one.idle_since.elapsed() >= RESTED);
+            let mut connection = connections.remove(rested.unwrap_or(0))?;
+            match connection.look(address, self.longest_idle()) {
+                Look::Good => return Some(connection),
+                Look::Over => {}
+                Look::Noise => self.doubt(member, Reuse::Asked),
             }
         }
     }
@@ -290,17 +211,33 @@
         Permit(self.budget.clone())
     }
 
-    async fn connection(&self, member: &MemberId, stage: &Cell<Stage>) -> Result<Connection, Lost> {
+    /// A connection for one request, and how it was come by: `None` if it is a new one.
+    async fn connection(
+        &self,
+        member: &MemberId,
+        once: bool,
+        stage: &Cell<Stage>,
+    ) -> Result<(Connection, Option<Reuse>), Lost> {
         loop {
-            for _ in 0..MOST_PINGS {
+            for _ in 0..MOST_ASKED {
                 let Some(mut connection) = self.free(member) else { break };
                 stage.set(Stage::Dialing);
-                let settled = bounded(PING_WAIT, connection.settle()).await;
+                let rested = span_of(connection.idle_since.elapsed());
+                let mut reuse = self.trust.borrow().reuse(member, self.now(), rested, once);
+                // Nothing told yet that its last answer came alone.
+                if connection.rests() && !connection.alone {
+                    reuse = Reuse::Asked;
+                }
+                let settled = match reuse {
+                    Reuse::AtOnce if connection.rests() => Ok(()),
+                    Reuse::AtOnce => bounded(ASKED_WAIT, connection.rest()).await,
+                    Reuse::Asked => bounded(ASKED_WAIT, connection.ask()).await,
+                };
                 if settled.is_ok() {
-                    return Ok(connection);
+                    return Ok((connection, Some(reuse)));
                 }
                 // It has ended, fell silent, or brought what was nobody's: it is closed, with nothing sent on it.
-                self.counters.unsettled.add();
+                self.doubt(member, Reuse::Asked);
                 if matches!(settled, Err(Lost::Silent)) {
                     break;
                 }
@@ -316,7 +253,7 @@
                     self.close_one_idle();
                     Timer::after(SHORT_PAUSE).await;
                 }
-                other => return other,
+                other => return other.map(|connection| (connection, None)),
             }
         }
     }
@@ -345,8 +282,7 @@
                 }
                 buffer.consume(size);
                 if tag == b'Z' {
-                    let idle_since = Instant::now();
-                    return Ok(Connection { stream, address, buffer, idle_since, _permit: permit });
+                    return Ok(Connection::new(stream, address, buffer, permit));
                 }
             }
             if buffer.fill(&stream).await? == 0 {
@@ -355,22 +291,38 @@
         }
     }
 
-    /// Sends one simple query and reads up to ReadyForQuery.
+    /// Sends one simple query and reads up to ReadyForQuery. The caller learns through `kept` of a request that went
+    /// at once on a kept connection and has had nothing of an answer.
     async fn exchange(
         &self,
         member: &MemberId,
         query: &[&[u8]],
+        once: bool,
         stage: &Cell<Stage>,
+        kept: &Cell<bool>,
     ) -> Result<(Connection, Exchange), Lost> {
-        let mut connection = self.connection(member, stage).await?;
+        let (mut connection, reuse) = self.connection(member, once, stage).await?;
         // The list may have changed while the connection was opened; nothing new goes to who drains or is gone.
         if !self.members.in_service(member) {
             return Err(Lost::Withdrawn);
         }
         stage.set(Stage::Writing);
-        write_all(&connection.stream, query).await?;
+        // Behind it goes an empty query whose answer nobody waits for: it shows, before the next request is sent,
+        // that nothing but one answer came.
+        if self.trust.borrow().marks(member, self.now()) {
+            connection.marked();
+            write_all(&connection.stream, &[query, &[MARK]].concat()).await?;
+        } else {
+            connection.unmarked();
+            write_all(&connection.stream, query).await?;
+        }
         stage.set(Stage::Sent);
-        let exchange = read_answer(&connection.stream, &mut connection.buffer).await?;
+        kept.set(reuse == Some(Reuse::AtOnce));
+        let exchange = read_answer(&connection.stream, &mut connection.buffer).await;
+        kept.set(kept.get() && connection.buffer.data().is_empty());
+        let exchange = exchange?;
+        kept.set(false);
+        self.trust.borrow_mut().heard(member, self.now());
         Ok((connection, exchange))
     }
 
@@ -380,14 +332,19 @@
         wait: Duration,
         member: &MemberId,
         query: &[&[u8]],
+        once: bool,
     ) -> Result<(Connection, Exchange), Verdict> {
-        let stage = Cell::new(Stage::Waiting);
-        let answer = async { Some(self.exchange(member, query, &stage).await) };
+        let (stage, kept) = (Cell::new(Stage::Waiting), Cell::new(false));
+        let answer = async { Some(self.exchange(member, query, once, &stage, &kept).await) };
         let limit = async {
             Timer::after(wait).await;
             None
         };
-        match (or(answer, limit).await, stage.get()) {
+        let ended = or(answer, limit).await;
+        if kept.get() && !matches!(ended, Some(Ok(_))) {
+            self.doubt(member, Reuse::AtOnce);
+        }
+        match (ended, stage.get()) {
             (Some(Ok(done)), _) => Ok(done),
             (Some(Err(Lost::Said(code))), _) => Err(verdict(code)),
             // Nothing was sent, and nothing is known of the member.
@@ -406,7 +363,7 @@
     pub async fn probe(&self, member: &MemberId) -> (Verdict, Option<Vec<f64>>) {
         let mut query = Vec::with_capacity(32);
         pg::write::query(&mut query, "SHOW gauges");
-        match self.within(PROBE_WAIT, member, &[&query]).await {
+        match self.within(PROBE_WAIT, member, &[&query], false).await {
             Err(verdict) => (verdict, None),
             Ok((mut connection, exchange)) => {
                 let value = exchange.value.and_then(|at| connection.buffer.data().get(at));
@@ -431,7 +388,7 @@
         let before = &query.bytes[query.whole.start..query.wait.start];
         let after = &query.bytes[query.wait.end..query.whole.end];
         let head = pg::write::query_head(before.len() + digits.len() + after.len());
-        match self.within(wait, member, &[&head, before, digits.as_bytes(), after]).await {
+        match self.within(wait, member, &[&head, before, digits.as_bytes(), after], query.once).await {
             Err(verdict) => Ended::without_answer(verdict),
             Ok((mut connection, exchange)) => {
                 let Exchange { verdict, notes, pieces, size, ready, .. } = exchange;
