The boxes of the model are a part of their own, for other hosts than virtual time

A rehearsal on sockets needs the same boxes, groups, troubles and list as the one in virtual time, and all of it stood in the host.

fleet::fleet has the boxes and what befalls them, with time handed in and consequences handed back; fleet::traffic draws what clients ask. The host in virtual time keeps its queue, network, poolers and clients. A write to a dead box breaks there whoever sends it; its test failed first.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,13 +2,15 @@
 //! clients, a network and late lists. It drives the same [`linnetdeal_core::Router`] and membership as the daemon does, and
 //! is deterministic from one seed.
 //!
-//! [`server`] and [`group`] are pure and are handed the time, so that other hosts can use them. [`sim`] is the host in virtual
-//! time. What happened stands in a [`record::Log`], which [`audit`] holds to the rules without any of the pooler's code.
+//! [`server`], [`group`] and the [`fleet`] of them are pure and are handed the time: [`sim`] is their host in virtual time, and
+//! others can have them on sockets. What happened stands in a [`record::Log`], which [`audit`] holds to the rules without any of the pooler's code.
 
 pub mod audit;
 pub mod faults;
+pub mod fleet;
 pub mod group;
 pub mod record;
 pub mod scenario;
 pub mod server;
 pub mod sim;
+pub mod traffic;
--- /dev/null
+++ b/crates/fleet/src/traffic.rs
@@ -0,0 +1,149 @@
+//! What clients ask, and of whom: drawn from one generator in a fixed order, so that every host of a scenario has the same.
+
+use crate::scenario::Scenario;
+use linnetdeal_core::{Class, Effect, Need, Span};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp1, Zipf};
+
+/// What a client that may ask again waits at the least, in ms.
+pub const BACK_MS: std::ops::Range<i64> = 10..80;
+
+/// A class of the model: what a client asks of it, and the share of requests that it is.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Its class.
+    pub class: Class,
+    /// Its share.
+    pub share: f64,
+    /// The work of one on a standard core, in us.
+    pub work: std::ops::Range<i64>,
+    /// How long a client waits.
+    pub deadline: Span,
+}
+
+/// All classes, writes last.
+#[must_use]
+pub fn plans() -> Vec<Plan> {
+    let plan = |name: &str, need, effect, share, aim, deadline, worth, late, work| Plan {
+        class: Class {
+            name: name.into(),
+            effect,
+            need,
+            aim: Span::millis(aim),
+            aim_stretch: 0.0,
+            worth,
+            late_worth: late,
+        },
+        share,
+        work,
+        deadline: Span::millis(deadline),
+    };
+    let bound = Need::Bounded(Span::millis(1_500));
+    let read = 53_000..92_000;
+    vec![
+        plan("bundle-menu", bound, Effect::Safe, 0.41, 400, 1_000, 3.0, 0.2, read.clone()),
+        plan("my-recent", Need::Session, Effect::Safe, 0.24, 400, 1_000, 1.0, 0.0, read.clone()),
+        plan("usage-history", Need::Any, Effect::Safe, 0.20, 300, 1_000, 2.0, 0.2, read.clone()),
+        plan("balance-check", Need::Fresh, Effect::Safe, 0.035, 300, 1_000, 1.0, 0.0, read),
+        plan("top-up", Need::Write, Effect::Unsafe, 0.115, 300, 5_000, 3.0, 0.3, 32_000..55_000),
+    ]
+}
+
+/// What a client asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Drawn {
+    /// Its class.
+    pub class: usize,
+    /// Its session.
+    pub session: u64,
+    /// The group that has it.
+    pub group: u32,
+    /// The pooler that it goes to.
+    pub router: u32,
+    /// What a box has to do for it on a standard core.
+    pub work: Span,
+}
+
+/// The traffic of a scenario.
+#[derive(Clone, Debug)]
+pub struct Traffic {
+    /// Its classes.
+    pub plans: Vec<Plan>,
+    /// Requests a second, without a surge.
+    pub rate: f64,
+    /// Poolers come in so many sets, each of which serves its own groups.
+    pub sets: usize,
+    zipf: Option<Zipf<f64>>,
+    sessions: u64,
+    groups: usize,
+    poolers: usize,
+}
+
+impl Traffic {
+    /// That of a scenario.
+    #[must_use]
+    pub fn new(plan: &Scenario) -> Self {
+        let (boxes, fleet, plans) = (&plan.boxes, &plan.fleet, plans());
+        let mean = |of: &dyn Fn(&Plan) -> bool| -> f64 {
+            plans
+                .iter()
+                .filter(|plan| of(plan))
+                .map(|plan| plan.share * (plan.work.start + plan.work.end) as f64 / 2e6)
+                .sum()
+        };
+        let one = boxes.cores as f64 * boxes.speed;
+        let primary = mean(&|plan| matches!(plan.class.need, Need::Write | Need::Fresh));
+        let able = (one * fleet.members as f64 / mean(&|_| true)).min(one / primary) * fleet.groups as f64;
+        let rate = if plan.traffic.rate > 0.0 { plan.traffic.rate } else { able * plan.traffic.load };
+        let zipf = (plan.traffic.zipf > 0.0)
+            .then(|| Zipf::new(plan.traffic.sessions as f64, plan.traffic.zipf).ok())
+            .flatten();
+        let reach = if fleet.reach == 0 { fleet.groups } else { fleet.reach };
+        let sets = fleet.groups.div_ceil(reach).clamp(1, fleet.poolers);
+        let (sessions, groups, poolers) = (plan.traffic.sessions, fleet.groups, fleet.poolers);
+        Self { plans, rate, sets, zipf, sessions, groups, poolers }
+    }
+
+    /// How many poolers share a group.
+    #[must_use]
+    pub fn sharing(&self) -> u32 {
+        (self.poolers / self.sets).max(1) as u32
+    }
+
+    /// Whether a pooler serves a group.
+    #[must_use]
+    pub fn reaches(&self, router: u32, group: u32) -> bool {
+        router as usize % self.sets == group as usize % self.sets
+    }
+
+    /// Until the next request is asked.
+    pub fn gap(&self, surge: f64, rng: &mut ChaCha8Rng) -> Span {
+        let gap: f64 = Exp1.sample(rng);
+        Span(((gap / (self.rate * surge)) * 1e6) as i64)
+    }
+
+    /// What is asked.
+    pub fn draw(&self, rng: &mut ChaCha8Rng) -> Drawn {
+        let session = match &self.zipf {
+            Some(zipf) => zipf.sample(rng) as u64,
+            None => rng.random_range(1..=self.sessions),
+        };
+        let mixed = session.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        let group = ((mixed >> 33) % self.groups as u64) as u32;
+        let set = group as usize % self.sets;
+        let of_set = (self.poolers - set).div_ceil(self.sets);
+        let router = (set + ((mixed >> 13) as usize % of_set) * self.sets) as u32;
+        let mut dice = rng.random::<f64>();
+        let class = self
+            .plans
+            .iter()
+            .position(|plan| {
+                dice -= plan.share;
+                dice < 0.0
+            })
+            .unwrap_or(0);
+        let work = Span(rng.random_range(self.plans[class].work.clone()));
+        Drawn { class, session, group, router, work }
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/fleet.rs
@@ -0,0 +1,144 @@
+//! The boxes with what befalls them, as any host drives them.
+
+use linnetdeal_core::{ListState, Role, Span, Time, Verdict};
+use linnetdeal_fleet::fleet::{Arrival, Consequence, Finished, Fleet, Happens};
+use linnetdeal_fleet::scenario::Scenario;
+use linnetdeal_fleet::server::{Job, Life};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+const BEGIN: Time = Time(1_000_000_000);
+
+/// A fleet in which everything that is due happens up to a time.
+struct World {
+    fleet: Fleet,
+    rng: ChaCha8Rng,
+    due: Vec<(Time, Happens)>,
+    seen: Vec<(Time, Consequence)>,
+}
+
+impl World {
+    fn new(troubles: &str) -> Self {
+        let text = format!("package scenario\nname: \"one\"\nseed: 3\ntroubles: [{troubles}]\n");
+        let plan = Scenario::decode("one", text.as_bytes()).expect("a scenario");
+        let mut rng = ChaCha8Rng::seed_from_u64(3);
+        let fleet = Fleet::new(&plan, BEGIN, &mut rng);
+        let mut world = Self { fleet, rng, due: Vec::new(), seen: Vec::new() };
+        let mut out = Vec::new();
+        world.fleet.begin(&mut out);
+        world.follow(BEGIN, out);
+        world
+    }
+
+    fn follow(&mut self, now: Time, out: Vec<Consequence>) {
+        for of in out {
+            match of {
+                Consequence::At(at, what) => self.due.push((at, what)),
+                other => self.seen.push((now, other)),
+            }
+        }
+    }
+
+    fn until(&mut self, end: Time) {
+        while let Some(next) = (0..self.due.len()).min_by_key(|at| (self.due[*at].0, *at)) {
+            if self.due[next].0 > end {
+                return;
+            }
+            let (now, what) = self.due.remove(next);
+            let mut out = Vec::new();
+            self.fleet.happens(now, what, &mut self.rng, &mut out);
+            self.follow(now, out);
+        }
+    }
+
+    fn come(&mut self, now: Time, server: u32, id: u64, write: bool) -> Arrival {
+        let (job, mut out) = (Job { id, work: Span::millis(50) }, Vec::new());
+        let came = self.fleet.come(now, server, job, write, &mut self.rng, &mut out);
+        self.follow(now, out);
+        came
+    }
+
+    fn through(&self) -> Vec<u64> {
+        let through = self.seen.iter().filter_map(|(_, of)| match of {
+            Consequence::Through(_, id) => Some(*id),
+            _ => None,
+        });
+        through.collect()
+    }
+
+    fn listed(&self) -> Vec<(u32, ListState, bool)> {
+        self.fleet.changes.iter().map(|of| (of.server, of.state, of.primary)).collect()
+    }
+}
+
+fn at(ms: i64) -> Time {
+    BEGIN + Span::millis(ms)
+}
+
+#[test]
+fn a_dead_primary_loses_what_it_held_and_another_takes_over_and_is_listed() {
+    let mut world = World::new("{at: \"1s\", what: \"crash\", who: \"primary\", lasts: \"20s\"}");
+    world.until(at(990));
+    assert_eq!(world.come(at(990), 0, 7, true), Arrival::Taken);
+    world.until(at(1_000));
+    assert!(world.seen.iter().any(|(_, of)| *of == Consequence::Lost(7)));
+    assert_eq!(world.come(at(1_001), 0, 8, true), Arrival::Broken);
+    assert!(matches!(world.come(at(1_001), 1, 9, true), Arrival::Answered(Verdict::Miss, _)));
+    world.until(at(19_000));
+    let (when, heir) = world.fleet.promoted[0];
+    // 2.2 s until it is given up and 2 s for the choice, a quarter less or more.
+    assert!((at(1_000 + 3_150)..at(1_000 + 5_300)).contains(&when), "{when:?}");
+    assert!(heir != 0 && world.fleet.is_primary(heir));
+    assert_eq!(world.listed(), [(0, ListState::Gone, false), (heir, ListState::Healthy, true)]);
+    assert_eq!(world.come(at(19_000), heir, 10, true), Arrival::Taken);
+    world.until(at(21_000));
+    // It is back, cold, and no primary any more.
+    assert_eq!(world.fleet.hosts[0].server.life(), Life::Up);
+    assert!(world.fleet.hosts[0].server.warmth(at(21_000)) < 0.2 && !world.fleet.is_primary(0));
+    assert_eq!(world.through(), [10]);
+}
+
+#[test]
+fn a_box_that_stood_still_goes_on_with_what_it_held() {
+    let mut world = World::new("{at: \"1s\", what: \"pause\", who: \"replica 0\", lasts: \"5s\"}");
+    world.until(at(990));
+    assert_eq!(world.come(at(990), 1, 7, false), Arrival::Taken);
+    world.until(at(5_999));
+    assert_eq!(world.through(), [0_u64; 0]);
+    assert_eq!(world.come(at(3_000), 1, 8, false), Arrival::Taken);
+    assert_eq!(world.fleet.report(1, at(3_000)), None);
+    world.until(at(7_000));
+    assert_eq!(world.through(), [7, 8]);
+    assert!(world.fleet.report(1, at(7_000)).is_some());
+    assert!(world.fleet.promoted.is_empty());
+}
+
+#[test]
+fn a_planned_change_turns_writes_away_and_loses_none_that_was_committed() {
+    let mut world = World::new("{at: \"1s\", what: \"drain\", who: \"primary\"}");
+    assert_eq!(world.come(at(900), 0, 7, true), Arrival::Taken);
+    world.until(at(999));
+    assert_eq!(world.fleet.finish(at(999), 0, true), Finished::Committed(at(999)));
+    world.until(at(1_000));
+    assert!(matches!(world.come(at(1_001), 0, 8, true), Arrival::Answered(Verdict::Full, _)));
+    world.until(at(2_000));
+    let (when, heir) = world.fleet.promoted[0];
+    assert!(when >= at(1_600), "{when:?}");
+    assert!(world.fleet.position(heir, at(2_000)) >= at(999));
+    assert_eq!(world.fleet.note(heir, at(2_000)).role, Some(Role::Primary));
+    assert_eq!(world.listed()[0], (0, ListState::Draining, false));
+}
+
+#[test]
+fn what_a_replica_answers_is_what_it_has_applied() {
+    let mut world = World::new("{at: \"1s\", what: \"lag\", who: \"replica 0\", factor: 100}");
+    world.until(at(1_000));
+    for ms in 0..20 {
+        assert!(matches!(world.fleet.finish(at(2_000 + ms), 0, true), Finished::Committed(_)));
+    }
+    // Twenty commits at half a second each: after three seconds it has at most six of them, and others all.
+    let Finished::Read(note, exact) = world.fleet.finish(at(5_000), 1, false) else { panic!("a read") };
+    assert!(exact < at(2_006) && note.position.is_some_and(|told| told <= exact), "{exact:?}");
+    let Finished::Read(_, other) = world.fleet.finish(at(5_000), 2, false) else { panic!("a read") };
+    assert!(other >= at(2_019), "{other:?}");
+}
