A scenario plays on real sockets round the daemon, beside virtual time

The model of a fleet says nothing of the daemon round the decisions, nor how far virtual time can be trusted.

One thread has the model and does what is due in its time; each box listens on a port of its own for each pooler, so that what came shows who sent it. The auditor gets what boxes, discovery and clients saw.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`server`], [`group`] and the [`fleet`] of them are pure and are handed the time: [`sim`] is their host in virtual time, and
 //! others can have them on sockets. What happened stands in a [`record::Log`], which [`audit`] holds to the rules without any of the pooler's code.
 
+pub mod agenda;
 pub mod audit;
 pub mod faults;
 pub mod fleet;
--- a/crates/fleet/src/sim.rs
+++ b/crates/fleet/src/sim.rs
@@ -1,6 +1,7 @@
 //! The host in virtual time: events in the order of their times, and of their making where these are equal. It drives the same
 //! router and membership as the daemon and decides nothing for them.
 
+use crate::agenda::Agenda;
 use crate::audit::{Fresh, Law, Rules};
 use crate::fleet::{Arrival, COLD, Change, Consequence, FALL, Finished, Fleet, Happens};
 use crate::record::{Record, Sink, What};
@@ -13,7 +14,7 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 /// When a run begins; the positions' zero, too.
@@ -59,33 +60,6 @@
     Start { router: u32 },
 }
 
-struct Due {
-    at: Time,
-    number: u64,
-    event: Event,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other).is_eq()
-    }
-}
-
-impl Eq for Due {}
-
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Due {
-    /// The earliest is the greatest; of equal times the one that was made first.
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (other.at, other.number).cmp(&(self.at, self.number))
-    }
-}
-
 /// A pooler in the host.
 struct Pooler {
     router: Option<Box<Router>>,
@@ -177,8 +151,7 @@
     rng: ChaCha8Rng,
     traffic: Traffic,
     now: Time,
-    queue: BinaryHeap<Due>,
-    number: u64,
+    queue: Agenda<Event>,
     fleet: Fleet,
     poolers: Vec<Pooler>,
     names: Vec<MemberId>,
@@ -198,7 +171,7 @@
 pub fn run<S: Sink>(scenario: &Scenario, sink: &mut S) -> Outcome {
     let mut sim = Sim::new(scenario, sink);
     sim.begin();
-    while let Some(Due { at, event, .. }) = sim.queue.pop() {
+    while let Some((at, event)) = sim.queue.take() {
         if at > sim.until + AFTER {
             break;
         }
@@ -269,8 +242,7 @@
             fleet: boxes_of,
             until: BEGIN + plan.traffic.lasts,
             now: BEGIN,
-            queue: BinaryHeap::new(),
-            number: 0,
+            queue: Agenda::default(),
             attempts: Vec::new(),
             free: Vec::new(),
             clients: Vec::new(),
@@ -292,8 +264,7 @@
     }
 
     fn at(&mut self, at: Time, event: Event) {
-        self.number += 1;
-        self.queue.push(Due { at, number: self.number, event });
+        self.queue.enter(at, event);
     }
 
     fn after(&mut self, span: Span, event: Event) {
--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -142,8 +142,14 @@
 /// What a client of a session asks.
 #[must_use]
 pub fn statement(class: usize, session: &str, id: &str, deadline: Duration) -> String {
+    statement_for(class, session, id, deadline, 2)
+}
+
+/// The same, of a group.
+#[must_use]
+pub fn statement_for(class: usize, session: &str, id: &str, deadline: Duration, group: u32) -> String {
     let (name, ms) = (CLASSES[class], deadline.as_millis());
-    let comment = format!("/* id={id},c={name},d={ms},cluster=2 */");
+    let comment = format!("/* id={id},c={name},d={ms},cluster={group} */");
     if class == 4 {
         format!("INSERT INTO kv (name, content) VALUES ('{session}', '\\x01') RETURNING content {comment}")
     } else {
@@ -167,6 +173,12 @@
         Self { address, stream: None, read: Vec::new(), told: None }
     }
 
+    /// Where to.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Closes it; what is asked next opens another.
     pub fn close(&mut self) {
         self.stream = None;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod plot;
 pub mod pooler;
 pub mod primary;
+pub mod rehearsal;
 pub mod say;
 pub mod script;
 pub mod sizes;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use linnetdeal_fleet::scenario::Scenario;
+use linnetdeal_fleet::sim::WRITES;
 use linnetdeal_lab::clients::CLASSES;
 use linnetdeal_lab::emulator;
 use linnetdeal_lab::experiment::{self, Experiment, FIGURES};
@@ -9,6 +10,7 @@
 use linnetdeal_lab::model::{Bounds, check};
 use linnetdeal_lab::play::{Outcome, play, program};
 use linnetdeal_lab::plot;
+use linnetdeal_lab::rehearsal;
 use linnetdeal_lab::script::Script;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -89,6 +91,9 @@
     Fleet {
         /// The scenario's file.
         scenario: PathBuf,
+        /// Play it on real sockets round the real daemon too, in real time, and say how the two differ.
+        #[arg(long, conflicts_with_all = ["request", "report"])]
+        sockets: bool,
         /// Another seed than the file's.
         #[arg(long)]
         seed: Option<u64>,
@@ -179,7 +184,8 @@
             );
             Ok(found.wrong.is_none())
         }
-        Command::Fleet { scenario, seed, request, report } => {
+        Command::Fleet { scenario, seed, sockets: true, .. } => rehearse(&scenario, seed),
+        Command::Fleet { scenario, seed, request, report, .. } => {
             fleet(&scenario, seed, request, report.as_deref())
         }
         Command::Experiment { file, out, threads } => experiment(&file, &out, threads),
@@ -266,6 +272,50 @@
     Ok(played.verdict.broken.is_empty() && played.missed.is_empty())
 }
 
+/// A scenario in virtual time and on sockets: its lines, the gap of the served shares, and the ratio of the 99th
+/// percentiles of the most common class; whether all rules were kept.
+fn both(scenario: &Scenario) -> Result<(f64, f64, bool), Failure> {
+    let virtual_one = emulator::play(scenario);
+    let real = rehearsal::play(scenario, &program())?;
+    let p99 = |of: &hdrhistogram::Histogram<u64>| of.value_at_quantile(0.99).max(1) as f64 / 1_000.0;
+    let broken: Vec<String> =
+        real.verdict.broken.iter().map(|(rule, count)| format!("{rule:?} {count}")).collect();
+    say!("{}", virtual_one.line());
+    say!(
+        "{:<20} asked {:>7}  served {:.4}  writes {:.4}  p99 {:>5.0} ms, of writes {:>5.0}  never sent {}  fell {}  cold peak {:.2}  {}",
+        "  on sockets",
+        real.asked.iter().sum::<u64>(),
+        real.share(),
+        real.share_of(WRITES),
+        p99(&real.latency[0]),
+        p99(&real.latency[WRITES]),
+        real.never_sent,
+        real.fallen,
+        real.verdict.peak,
+        if broken.is_empty() { "no rule broken".to_owned() } else { format!("BROKEN {}", broken.join(", ")) }
+    );
+    if let Some((rule, record)) = &real.verdict.first {
+        say!("    first: {rule:?} by {record:?}");
+    }
+    let gap = (real.share() - virtual_one.outcome.share()).abs();
+    let ratio = p99(&real.latency[0]) / p99(&virtual_one.outcome.latency[0]);
+    Ok((gap, ratio, broken.is_empty() && virtual_one.verdict.broken.is_empty()))
+}
+
+fn rehearse(path: &Path, seed: Option<u64>) -> Result<bool, Failure> {
+    let mut scenario = emulator::load(path)?;
+    scenario.seed = seed.unwrap_or(scenario.seed);
+    rehearsal::check(&scenario)?;
+    let (gap, ratio, kept) = both(&scenario)?;
+    say!("{}", json!({"served_gap": rounded(gap), "p99_ratio": rounded(ratio), "rules_kept": kept}));
+    Ok(kept)
+}
+
+/// To four places.
+fn rounded(of: f64) -> f64 {
+    (of * 10_000.0).round() / 10_000.0
+}
+
 fn load(load: &Load) -> Result<bool, Failure> {
     let result = load.play()?;
     let line = |name: &str, of: &OfClass| {
@@ -336,6 +386,9 @@
     Ok(true)
 }
 
+/// The scenarios that the proof plays on sockets too.
+const ON_SOCKETS: [&str; 3] = ["planned", "primary-dies", "slow-box"];
+
 /// The largest fleet that is tried.
 const LARGEST: &str = r#"
 name: "largest"
@@ -371,9 +424,19 @@
         largest = json!({"boxes": scenario.fleet.groups * scenario.fleet.members, "poolers": scenario.fleet.poolers,
             "requests_per_s": scenario.traffic.rate, "events": played.outcome.events, "took_s": played.took.as_secs()});
     }
+    // Those that one machine can show; each takes its own time, and the last two figures are the worst of them.
+    let (mut gap, mut ratio, mut on_sockets) = (0.0, 1.0, 0);
+    for scenario in scenarios.iter().filter(|of| !small && ON_SOCKETS.contains(&of.name.as_str())) {
+        let (one_gap, one_ratio, kept) = both(scenario)?;
+        gap = f64::max(gap, one_gap);
+        ratio = if f64::abs(one_ratio.ln()) > f64::abs(f64::ln(ratio)) { one_ratio } else { ratio };
+        (on_sockets, broken) = (on_sockets + 1, broken + u64::from(!kept));
+    }
     say!(
         "{}",
         json!({"scenarios": scenarios.len(), "missed": missed, "replays_identical": identical,
+            "on_sockets": on_sockets, "virtual_vs_sockets_served_gap": rounded(gap),
+            "virtual_vs_sockets_p99_ratio": rounded(ratio),
             "events": events, "events_per_s_core": (events as f64 / seconds).round(), "largest": largest,
             "peak_memory_mb": emulator::peak_memory_mb(), "rules_broken": broken,
             "seeded_faults_found": found, "seeded_faults": put})
--- a/crates/lab/src/pooler.rs
+++ b/crates/lab/src/pooler.rs
@@ -43,11 +43,13 @@
     pub sockets: u32,
     /// Where it listens; anywhere by default.
     pub listen: Option<SocketAddr>,
+    /// Where the platform's discovery answers; nowhere by default.
+    pub discovery: Option<SocketAddr>,
 }
 
 impl Default for Setup {
     fn default() -> Self {
-        Self { fleet: 1, sockets: 1_024, listen: None }
+        Self { fleet: 1, sockets: 1_024, listen: None, discovery: None }
     }
 }
 
@@ -80,15 +82,30 @@
         operator: Option<&str>,
         known: &Value,
         setup: Setup,
+    ) -> std::io::Result<Self> {
+        Self::start_with(program, operator, known, setup, settings())
+    }
+
+    /// Starts it with other settings than the lab's.
+    ///
+    /// # Errors
+    ///
+    /// When it does not start.
+    pub fn start_with(
+        program: &Path,
+        operator: Option<&str>,
+        known: &Value,
+        setup: Setup,
+        mut settings: Value,
     ) -> std::io::Result<Self> {
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("linnetdeal-lab-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
-        let mut settings = settings();
         settings["FleetSize"] = setup.fleet.into();
         let listen = setup.listen.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
         let config = json!({"name": format!("lab{number}"), "listen": listen.to_string(), "seed": "8c1f30d27a5be964",
+            "discovery": setup.discovery.map(|address| address.to_string()),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": setup.sockets}, "known": known,
             "settings": settings});
         std::fs::write(folder.join("config.json"), config.to_string())?;
--- /dev/null
+++ b/crates/lab/tests/rehearsal.rs
@@ -0,0 +1,22 @@
+//! What can't be played on sockets is told before anything is started.
+
+use linnetdeal_fleet::scenario::Scenario;
+use linnetdeal_lab::rehearsal;
+
+fn plan(text: &str) -> Scenario {
+    let text = format!("package scenario\nname: \"one\"\n{text}\n");
+    Scenario::decode("one", text.as_bytes()).expect("a scenario")
+}
+
+#[test]
+fn a_fleet_that_one_machine_can_not_show_is_refused_with_what_is_too_much() {
+    for (text, what) in [
+        ("fleet: {groups: 11}", "66 boxes"),
+        ("fleet: {poolers: 17}", "17 poolers"),
+        ("traffic: {rate: 9000}", "9000 requests a second"),
+    ] {
+        let error = rehearsal::check(&plan(text)).expect_err(text).to_string();
+        assert!(error.contains(what) && error.starts_with("one: "), "{error}");
+    }
+    assert!(rehearsal::check(&plan("fleet: {groups: 10}\ntraffic: {load: 0.1}")).is_ok());
+}
