Reports show times by class, loads of boxes and held writes

Of the charts that a run's report should have, only the served share and the load were there.

It now draws the 99th percentile by class over the seconds, what the most, the middle and the least loaded box is sent, and the writes that wait with nothing sent, from the same records as the auditor's; several lines to a chart, with a legend. Runs that are not drawn keep none of it, and four million times are the most that are kept.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -259,7 +259,10 @@
         emulator::of_request(&scenario, request).iter().for_each(|record| say!("{record:?}"));
         return Ok(true);
     }
-    let mut marks = plot::Marks::default();
+    let mut marks = match report {
+        Some(_) => plot::Marks::drawing(linnetdeal_fleet::sim::BEGIN),
+        None => plot::Marks::default(),
+    };
     let played = emulator::play_with(&scenario, &mut marks);
     say!("{}", played.line());
     if let Some(report) = report {
--- a/crates/lab/src/plot.rs
+++ b/crates/lab/src/plot.rs
@@ -1,9 +1,13 @@
-//! A run as one HTML file that needs no network: its figures, and served share and load over time with the troubles marked.
+//! A run as one HTML file that needs no network: its figures, and over time the served share, load, times by class, what
+//! boxes are sent and writes that are held, with the troubles marked.
 
+use crate::clients::CLASSES;
 use crate::emulator::Played;
+use linnetdeal_core::Time;
 use linnetdeal_fleet::record::{Record, Sink, What};
 use linnetdeal_fleet::sim::{BEGIN, WRITES};
 use plotters::prelude::*;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt::Write as _;
 use std::path::Path;
 
@@ -11,45 +15,195 @@
 /// No more troubles are marked than this.
 const MOST_MARKS: usize = 200;
 
-/// Keeps when troubles began.
+/// More requests than this are not drawn: their times would take too much memory.
+const MOST_DRAWN: usize = 4_000_000;
+/// The colours of lines, in the order of what they show.
+const COLOURS: [RGBColor; 6] =
+    [BLUE, RGBColor(0, 140, 70), RGBColor(200, 110, 0), RGBColor(130, 60, 170), BLACK, RGBColor(0, 150, 170)];
+
+/// Keeps of a run what charts show: when troubles began and, if it is to be drawn, times, loads and what is held.
+#[derive(Debug)]
+pub struct Marks {
+    /// When troubles began, in seconds.
+    pub troubles: Vec<f64>,
+    begin: Time,
+    drawn: Option<Drawn>,
+}
+
+impl Default for Marks {
+    fn default() -> Self {
+        Self { troubles: Vec::new(), begin: BEGIN, drawn: None }
+    }
+}
+
+impl Marks {
+    /// For charts of a run that begins then.
+    #[must_use]
+    pub fn drawing(begin: Time) -> Self {
+        Self { troubles: Vec::new(), begin, drawn: Some(Drawn::default()) }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Open {
+    asked: Time,
+    class: usize,
+    out: bool,
+}
+
 #[derive(Debug, Default)]
-pub struct Marks(pub Vec<f64>);
+struct Drawn {
+    open: HashMap<u64, Open>,
+    /// By second and class, how long served requests took, in ms.
+    took: Vec<[Vec<f32>; 5]>,
+    /// By second and box, what it was sent.
+    sent: Vec<BTreeMap<u32, u32>>,
+    /// Writes that are open with nothing out for them: now, and the most within each second.
+    held: usize,
+    most_held: Vec<usize>,
+    times: usize,
+}
+
+/// The place of a second, made if need be.
+fn place<T: Default>(of: &mut Vec<T>, second: usize) -> &mut T {
+    if of.len() <= second {
+        of.resize_with(second + 1, T::default);
+    }
+    &mut of[second]
+}
+
+impl Drawn {
+    fn hold(&mut self, second: usize, now: usize) {
+        self.held = now;
+        let most = place(&mut self.most_held, second);
+        *most = (*most).max(now);
+    }
+
+    fn take(&mut self, record: &Record, begin: Time) {
+        let second = |at: Time| usize::try_from((at - begin).0 / 1_000_000).unwrap_or(0);
+        let (now, held) = (second(record.at), self.held);
+        let write = |of: &Open| of.class == WRITES;
+        match record.what {
+            What::Asked => {
+                let class = ((record.b % 256) as usize).min(WRITES);
+                let open = Open { asked: record.at, class, out: false };
+                self.open.insert(record.request, open);
+                self.hold(now, held + usize::from(write(&open)));
+            }
+            What::Sent => {
+                *place(&mut self.sent, now).entry(record.b).or_default() += 1;
+                if let Some(open) = self.open.get_mut(&record.request).filter(|open| !open.out) {
+                    open.out = true;
+                    let held = held - usize::from(write(open)).min(held);
+                    self.hold(now, held);
+                }
+            }
+            What::Over => {
+                if let Some(open) = self.open.get_mut(&record.request).filter(|open| open.out) {
+                    open.out = false;
+                    let held = held + usize::from(write(open));
+                    self.hold(now, held);
+                }
+            }
+            What::Served | What::Refused | What::Failed => {
+                let Some(open) = self.open.remove(&record.request) else { return };
+                if !open.out {
+                    self.hold(now, held - usize::from(write(&open)).min(held));
+                }
+                if record.what == What::Served && self.times < MOST_DRAWN {
+                    self.times += 1;
+                    let took = (record.at - open.asked).0 as f32 / 1_000.0;
+                    place(&mut self.took, second(open.asked))[open.class].push(took);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// The 99th percentile by class over the seconds, in ms.
+    fn percentiles(&self, class: usize) -> Vec<(f64, f64)> {
+        let of = self.took.iter().enumerate().filter(|(_, of)| !of[class].is_empty());
+        of.map(|(second, of)| {
+            let mut times = of[class].clone();
+            times.sort_by(f32::total_cmp);
+            (second as f64, f64::from(times[(times.len() - 1) * 99 / 100]))
+        })
+        .collect()
+    }
+
+    /// What the box that is sent most, the one in the middle and the one that is sent least get in each second, of all
+    /// that were ever sent anything.
+    fn loads(&self) -> [Vec<(f64, f64)>; 3] {
+        let boxes: BTreeSet<u32> = self.sent.iter().flat_map(|of| of.keys().copied()).collect();
+        let mut lines = [Vec::new(), Vec::new(), Vec::new()];
+        for (second, of) in self.sent.iter().enumerate() {
+            let mut counts: Vec<u32> = boxes.iter().map(|one| of.get(one).copied().unwrap_or(0)).collect();
+            counts.sort_unstable();
+            let Some(last) = counts.len().checked_sub(1) else { continue };
+            for (line, at) in lines.iter_mut().zip([last, last / 2, 0]) {
+                line.push((second as f64, f64::from(counts[at])));
+            }
+        }
+        lines
+    }
+}
 
 impl Sink for Marks {
     fn take(&mut self, record: Record) {
-        if matches!(record.what, What::Trouble | What::Killed) && self.0.len() < MOST_MARKS {
-            self.0.push((record.at - BEGIN).0 as f64 / 1e6);
+        if matches!(record.what, What::Trouble | What::Killed) && self.troubles.len() < MOST_MARKS {
+            self.troubles.push((record.at - self.begin).0 as f64 / 1e6);
+        }
+        if let Some(drawn) = &mut self.drawn {
+            drawn.take(&record, self.begin);
         }
     }
 }
 
-/// A line over the seconds of a run, with the troubles as upright lines.
+/// A line of a chart: what it shows, and its points.
+type Line<'a> = (&'a str, Vec<(f64, f64)>);
+
+/// Lines over the seconds of a run, with the troubles as upright lines. `top` is the least that the scale goes up to.
 ///
 /// # Errors
 ///
 /// When it can't be drawn.
-pub fn chart(title: &str, points: &[(f64, f64)], top: f64, marks: &[f64]) -> Result<String, String> {
+pub fn chart(title: &str, lines: &[Line<'_>], top: f64, marks: &[f64]) -> Result<String, String> {
+    draw(title, lines, top, marks).map_err(|error| error.to_string())
+}
+
+fn draw(
+    title: &str,
+    lines: &[Line<'_>],
+    top: f64,
+    marks: &[f64],
+) -> Result<String, Box<dyn std::error::Error>> {
     let mut svg = String::new();
     {
         let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
-        let words = |error: &dyn std::fmt::Display| error.to_string();
-        area.fill(&WHITE).map_err(|error| words(&error))?;
-        let end = points.last().map_or(1.0, |(at, _)| *at).max(1.0);
+        area.fill(&WHITE)?;
+        let points = || lines.iter().flat_map(|(_, points)| points);
+        let end = points().map(|(at, _)| *at).fold(1.0, f64::max);
+        let top = points().map(|(_, value)| *value * 1.05).fold(top.max(f64::MIN_POSITIVE), f64::max);
         let mut chart = ChartBuilder::on(&area)
             .caption(title, ("sans-serif", 16))
             .margin(8)
             .x_label_area_size(28)
             .y_label_area_size(56)
-            .build_cartesian_2d(0.0..end, 0.0..top.max(f64::MIN_POSITIVE))
-            .map_err(|error| words(&error))?;
-        chart.configure_mesh().x_desc("s").light_line_style(WHITE).draw().map_err(|error| words(&error))?;
+            .build_cartesian_2d(0.0..end, 0.0..top)?;
+        chart.configure_mesh().x_desc("s").light_line_style(WHITE).draw()?;
         for at in marks {
-            let line = [(*at, 0.0), (*at, top)];
-            chart.draw_series(LineSeries::new(line, RED.mix(0.5))).map_err(|error| words(&error))?;
+            chart.draw_series(LineSeries::new([(*at, 0.0), (*at, top)], RED.mix(0.5)))?;
+        }
+        for ((what, points), colour) in lines.iter().zip(COLOURS.iter().cycle()) {
+            let drawn = LineSeries::new(points.iter().copied(), colour.stroke_width(2));
+            let sample = move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour.stroke_width(2));
+            chart.draw_series(drawn)?.label(*what).legend(sample);
         }
-        let line = LineSeries::new(points.iter().copied(), BLUE.stroke_width(2));
-        chart.draw_series(line).map_err(|error| words(&error))?;
-        area.present().map_err(|error| words(&error))?;
+        if lines.len() > 1 {
+            let labels = SeriesLabelPosition::UpperRight;
+            chart.configure_series_labels().position(labels).background_style(WHITE.mix(0.8)).draw()?;
+        }
+        area.present()?;
     }
     Ok(svg)
 }
@@ -66,10 +220,9 @@
 /// When it can't be drawn.
 pub fn report(played: &Played, marks: &Marks) -> Result<String, String> {
     let seconds = || played.outcome.by_second.iter().enumerate().filter(|(_, (asked, _))| *asked > 0);
-    let share: Vec<(f64, f64)> =
+    let served: Vec<(f64, f64)> =
         seconds().map(|(at, (asked, served))| (at as f64, *served as f64 / *asked as f64)).collect();
     let load: Vec<(f64, f64)> = seconds().map(|(at, (asked, _))| (at as f64, *asked as f64)).collect();
-    let most = load.iter().map(|(_, asked)| *asked).fold(1.0, f64::max);
     let mut html = String::new();
     let broken: Vec<String> =
         played.verdict.broken.iter().map(|(rule, count)| format!("{rule:?} {count}")).collect();
@@ -95,13 +248,21 @@
         let _ = write!(html, "<tr><td>{what}<td>{}", plain(&figure));
     }
     html.push_str("</table>");
-    html.push_str(&chart(
-        "served share of first tries, by the second in which they were asked",
-        &share,
-        1.05,
-        &marks.0,
-    )?);
-    html.push_str(&chart("first tries a second", &load, most * 1.1, &marks.0)?);
+    let share = "served share of first tries, by the second in which they were asked";
+    html.push_str(&chart(share, &[("served", served)], 1.05, &marks.troubles)?);
+    html.push_str(&chart("first tries a second", &[("asked", load)], 1.0, &marks.troubles)?);
+    if let Some(drawn) = &marks.drawn {
+        let lines: Vec<Line<'_>> =
+            CLASSES.iter().enumerate().map(|(class, name)| (*name, drawn.percentiles(class))).collect();
+        let title = "time of served tries, 99th percentile of those asked in each second, ms";
+        html.push_str(&chart(title, &lines, 1.0, &marks.troubles)?);
+        let [most, middle, least] = drawn.loads();
+        let lines = [("the most", most), ("the middle box", middle), ("the least", least)];
+        html.push_str(&chart("attempts that a box is sent in a second", &lines, 1.0, &marks.troubles)?);
+        let held = drawn.most_held.iter().enumerate().map(|(at, held)| (at as f64, *held as f64)).collect();
+        let title = "writes that wait with nothing sent, the most in each second";
+        html.push_str(&chart(title, &[("held", held)], 1.0, &marks.troubles)?);
+    }
     Ok(html)
 }
 
--- a/crates/lab/tests/report.rs
+++ b/crates/lab/tests/report.rs
@@ -13,11 +13,14 @@
 #[test]
 fn a_report_is_one_file_with_its_charts_and_marks() {
     let scenario = Scenario::decode("small.cue", SMALL.as_bytes()).unwrap();
-    let mut marks = plot::Marks::default();
+    let mut marks = plot::Marks::drawing(linnetdeal_fleet::sim::BEGIN);
     let played = emulator::play_with(&scenario, &mut marks);
-    assert_eq!(marks.0, [2.0]);
+    assert_eq!(marks.troubles, [2.0]);
     let html = plot::report(&played, &marks).unwrap();
-    assert_eq!((html.matches("<svg").count(), html.contains("rules broken<td>none")), (2, true));
+    assert_eq!((html.matches("<svg").count(), html.contains("rules broken<td>none")), (5, true));
+    for line in ["top-up", "the middle box", "writes that wait"] {
+        assert!(html.contains(line), "{line}");
+    }
     let links = html.matches("http").count();
     assert_eq!(links, html.matches("http://www.w3.org/2000/svg").count(), "names of formats, and no links");
 
