All attempts' time limits share one timer of the reactor

Each attempt set a timer of its own, and each set timer cost a call to the system and a needless turn of the loop, though hardly any limit is ever reached.

Alarms keep the limits in a map and one timer for the soonest; it is set anew only where a limit is sooner than all before. What is dropped is forgotten without a call.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,5 +1,6 @@
 //! The daemon: the decisions on real sockets. One executor on one thread carries all tasks.
 
+pub mod alarms;
 pub mod buffer;
 pub mod clock;
 pub mod config;
@@ -125,9 +126,10 @@
             frontend::listen(config.listen).map_err(|error| RunError::Listen(config.listen, error))?;
         let listening = listener.get_ref().local_addr().unwrap_or(config.listen);
         signals::listen(&Rc::new(handler)).map_err(RunError::Signals)?;
-        let (a, b) = (driver.clone(), pool.clone());
+        let (a, b, c) = (driver.clone(), pool.clone(), pool.clone());
         executor.spawn(async move { a.run_wakes().await }).detach();
         executor.spawn(async move { b.run_upkeep().await }).detach();
+        executor.spawn(async move { c.run_alarms().await }).detach();
         executor.spawn(probes::run(executor.clone(), driver, pool, wanted)).detach();
         executor.spawn(discovery::run(follower, config.known.generation)).detach();
         executor.spawn(frontend::run(Rc::new(door), listener)).detach();
--- a/crates/net/src/upstream.rs
+++ b/crates/net/src/upstream.rs
@@ -1,5 +1,6 @@
 //! Connections to servers: opened when none is free, reused last in first out, within a budget.
 
+use super::alarms::Alarms;
 use super::buffer::{ReadBuffer, write_all};
 use super::connection::{Budget, Connection, Look, Lost, MARK, Permit, shortage};
 use super::counters::Counters;
@@ -68,9 +69,13 @@
 }
 
 /// What `work` gives within a time limit.
-async fn bounded<T>(longest: Duration, work: impl Future<Output = Result<T, Lost>>) -> Result<T, Lost> {
+async fn bounded<T>(
+    alarms: &Alarms,
+    longest: Duration,
+    work: impl Future<Output = Result<T, Lost>>,
+) -> Result<T, Lost> {
     let limit = async {
-        Timer::after(longest).await;
+        alarms.at(Instant::now() + longest).await;
         Err(Lost::Silent)
     };
     or(work, limit).await
@@ -111,6 +116,7 @@
     budget: Rc<Budget>,
     idle: RefCell<HashMap<MemberId, VecDeque<Connection>>>,
     trust: RefCell<Trust>,
+    alarms: Alarms,
     started: Instant,
 }
 
@@ -126,6 +132,7 @@
             budget,
             idle: RefCell::default(),
             trust: RefCell::default(),
+            alarms: Alarms::default(),
             started: Instant::now(),
         }
     }
@@ -148,6 +155,11 @@
         }
     }
 
+    /// Ends attempts whose time is over. Runs for ever.
+    pub async fn run_alarms(&self) {
+        self.alarms.run().await;
+    }
+
     /// Closes the connection that has been idle longest, if there is one.
     pub fn close_one_idle(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
@@ -230,8 +242,8 @@
                 }
                 let settled = match reuse {
                     Reuse::AtOnce if connection.rests() => Ok(()),
-                    Reuse::AtOnce => bounded(ASKED_WAIT, connection.rest()).await,
-                    Reuse::Asked => bounded(ASKED_WAIT, connection.ask()).await,
+                    Reuse::AtOnce => bounded(&self.alarms, ASKED_WAIT, connection.rest()).await,
+                    Reuse::Asked => bounded(&self.alarms, ASKED_WAIT, connection.ask()).await,
                 };
                 if settled.is_ok() {
                     return Ok((connection, Some(reuse)));
@@ -245,7 +257,7 @@
             stage.set(Stage::Waiting);
             let permit = self.permit().await;
             stage.set(Stage::Dialing);
-            match bounded(self.host.dial_timeout, self.dial(member, permit)).await {
+            match bounded(&self.alarms, self.host.dial_timeout, self.dial(member, permit)).await {
                 // The system is out of something though the budget is not: wait, and let an idle one go.
                 Err(Lost::Short) => {
                     stage.set(Stage::Waiting);
@@ -337,7 +349,7 @@
         let (stage, kept) = (Cell::new(Stage::Waiting), Cell::new(false));
         let answer = async { Some(self.exchange(member, query, once, &stage, &kept).await) };
         let limit = async {
-            Timer::after(wait).await;
+            self.alarms.at(Instant::now() + wait).await;
             None
         };
         let ended = or(answer, limit).await;
