A rehearsal on sockets counts surges, and is no longer than five minutes

Its bound on requests a second left out what a surge multiplies, and it keeps all records until the end, without a bound on how long that is. Both are told before anything is started, with what is too much.

--- a/crates/lab/src/rehearsal.rs
+++ b/crates/lab/src/rehearsal.rs
@@ -12,7 +12,7 @@
 use linnetdeal_fleet::audit::{self, Auditor, Fresh};
 use linnetdeal_fleet::fleet::{Arrival, Change, Consequence, Finished, Fleet, Happens};
 use linnetdeal_fleet::record::{Record, Sink, What};
-use linnetdeal_fleet::scenario::Scenario;
+use linnetdeal_fleet::scenario::{Ill, Scenario};
 use linnetdeal_fleet::server::{Job, Life};
 use linnetdeal_fleet::sim;
 use linnetdeal_fleet::traffic::{BACK_MS, Drawn, Traffic};
@@ -34,6 +34,8 @@
 const MOST_BOXES: usize = 64;
 const MOST_POOLERS: usize = 16;
 const MOST_RATE: f64 = 3_000.0;
+/// All that happens is kept until it is audited, some 400 bytes a request.
+const MOST_SECONDS: f64 = 300.0;
 /// Clients that wait at once; what is asked beyond it counts as never sent.
 const MOST_OPEN: usize = 3_000;
 /// From the first start until clients ask, and from the last request to the end.
@@ -155,11 +157,14 @@
 ///
 /// When it is larger than one machine can show.
 pub fn check(plan: &Scenario) -> io::Result<()> {
-    let (boxes, rate) = (plan.fleet.groups * plan.fleet.members, Traffic::new(plan).rate);
+    let surges = plan.troubles.iter().filter(|of| of.what == Ill::Surge).map(|of| of.factor);
+    let rate = Traffic::new(plan).rate * surges.fold(1.0, f64::max);
+    let boxes = plan.fleet.groups * plan.fleet.members;
     for (what, is, most) in [
         ("boxes", boxes as f64, MOST_BOXES as f64),
         ("poolers", plan.fleet.poolers as f64, MOST_POOLERS as f64),
         ("requests a second", rate, MOST_RATE),
+        ("seconds", plan.traffic.lasts.0 as f64 / 1e6, MOST_SECONDS),
     ] {
         if is > most {
             return Err(io::Error::other(format!(
--- a/crates/lab/tests/rehearsal.rs
+++ b/crates/lab/tests/rehearsal.rs
@@ -14,6 +14,11 @@
         ("fleet: {groups: 11}", "66 boxes"),
         ("fleet: {poolers: 17}", "17 poolers"),
         ("traffic: {rate: 9000}", "9000 requests a second"),
+        (
+            "traffic: {rate: 900}\ntroubles: [{at: \"1s\", what: \"surge\", who: \"primary\", factor: 10}]",
+            "9000 requests",
+        ),
+        ("traffic: {lasts: \"20m\"}", "1200 seconds"),
     ] {
         let error = rehearsal::check(&plan(text)).expect_err(text).to_string();
         assert!(error.contains(what) && error.starts_with("one: "), "{error}");
