--- a/crates/fleet/src/sim.rs
+++ b/crates/fleet/src/sim.rs
@@ -598,8 +598,7 @@
         let group = self.fleet.hosts[self.fleet.changes[change].server as usize].group;
         for router in 0..self.poolers.len() as u32 {
             if self.traffic.reaches(router, group) {
-                let own = Span(35_000 + i64::from(router) * 7_919 % 265_000);
-                self.at(noticed + own, Event::Told { router, change });
+                self.at(noticed + self.traffic.hears_after(router), Event::Told { router, change });
             }
         }
     }
--- a/crates/fleet/src/traffic.rs
+++ b/crates/fleet/src/traffic.rs
@@ -111,6 +111,12 @@
         (self.poolers / self.sets).max(1) as u32
     }
 
+    /// How long after others may hear of it a pooler hears what the list says.
+    #[must_use]
+    pub fn hears_after(&self, router: u32) -> Span {
+        Span(35_000 + i64::from(router) * 7_919 % 265_000)
+    }
+
     /// Whether a pooler serves a group.
     #[must_use]
     pub fn reaches(&self, router: u32, group: u32) -> bool {
--- a/crates/lab/src/rehearsal.rs
+++ b/crates/lab/src/rehearsal.rs
@@ -345,8 +345,6 @@
     /// By box and pooler, where the box listens for it.
     ports: Vec<Vec<SocketAddr>>,
     poolers: Vec<Option<Pooler>>,
-    /// How often each was killed: who was started before that is not wanted any more.
-    lives: Vec<u32>,
     discoveries: Vec<SocketAddr>,
     watches: Vec<Vec<Sender<String>>>,
     /// By pooler, the changes that it was told, or would have been.
@@ -383,7 +381,6 @@
             next_job: 1,
             ports,
             poolers: (0..poolers).map(|_| None).collect(),
-            lives: vec![0; poolers],
             discoveries: discoveries.collect::<io::Result<_>>()?,
             watches: (0..poolers).map(|_| Vec::new()).collect(),
             told: vec![Vec::new(); poolers],
@@ -589,7 +586,6 @@
                 *crate::lock(&self.shared.doors[router as usize]) = None;
                 crate::lock(&self.shared.idle[router as usize]).clear();
                 if let Some(pooler) = self.poolers[router as usize].take() {
-                    self.lives[router as usize] += 1;
                     self.watches[router as usize].clear();
                     drop(pooler);
                     self.record(What::Killed, (router, 0), 0, 0, 0);
@@ -621,8 +617,10 @@
                     let group = self.fleet.hosts[server as usize].group;
                     for router in 0..self.poolers.len() as u32 {
                         if self.traffic.reaches(router, group) {
-                            let own = Span(35_000 + i64::from(router) * 7_919 % 265_000);
-                            self.at(noticed + own, Event::Told { router, change });
+                            self.at(
+                                noticed + self.traffic.hears_after(router),
+                                Event::Told { router, change },
+                            );
                         }
                     }
                 }
