A newer process takes the clients; a crowded primary's writes are refused in time

Traced: the primary s- answered in 42 to 91 ms and 12 a second; a top-up taken at 3.07 s was sent at 5.90 s with 17 ms left ('Send ... timeout 17'), as were all behind it. At fault: choice.rs place(), whose 'hopeless' left out every write, and the end of a process, which accepted and cut (signals.rs drain()). Change: held writes of a settled group are refused like reads; the older process accepts nobody from SIGTERM on and ends each connection in one segment with its answer; bans and the newest process stand as files of TMPDIR that both look at; GW_OPERATOR names a process's own address.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod settings;
 mod slowness;
 mod state;
+pub mod succession;
 pub mod trust;
 
 pub use choice::Router;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -239,6 +239,15 @@
         if out && self.banned.len() >= MOST_BANS && !self.banned.contains(member) {
             return None;
         }
+        Some(self.ban(member, out))
+    }
+
+    /// The same for a call that another process of this pooler took, which knew the member; named here or not.
+    pub fn by_word(&mut self, member: &MemberId, out: bool) -> Taken {
+        if out && self.banned.len() >= MOST_BANS { Taken::default() } else { self.ban(member, out) }
+    }
+
+    fn ban(&mut self, member: &MemberId, out: bool) -> Taken {
         if out {
             self.banned.insert(member.clone());
         } else {
@@ -252,12 +261,7 @@
                 record.known = known;
             }
         }
-        Some(taken)
-    }
-
-    /// Takes over who is out by hand from an earlier process, before any source has spoken; named by it or not.
-    pub fn inherit(&mut self, banned: impl IntoIterator<Item = MemberId>) {
-        self.banned.extend(banned.into_iter().take(MOST_BANS));
+        taken
     }
 
     /// Who is out by hand.
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -282,7 +282,9 @@
     assert!(members.by_hand(&id(2), false).unwrap().changed.is_empty());
 
     let mut next = self::members();
-    next.inherit((0..MOST_BANS + 5).map(id));
+    for at in 0..MOST_BANS + 5 {
+        next.by_word(&id(at), true);
+    }
     assert_eq!(next.banned().count(), MOST_BANS);
     changes(&mut next, 0, vec![up(1, 1)]);
     assert_eq!(state(&next, 1), Some(ListState::Draining), "it holds over a change of process");
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -294,6 +294,47 @@
     assert!(retry_after.is_some(), "and the client is told when to come back");
 }
 
+#[test]
+fn a_write_that_waits_for_room_at_its_primary_is_refused_in_time_and_frees_what_is_behind() {
+    let mut host = with_primary(settings());
+    // Far more than it has room for, at once; it answers one each 100 ms.
+    let (mut out, mut asked) = (std::collections::VecDeque::new(), Vec::new());
+    let sent = |actions: &[Action], out: &mut std::collections::VecDeque<_>| {
+        out.extend(actions.iter().filter_map(|action| match action {
+            Action::Send { request, .. } => Some(*request),
+            _ => None,
+        }));
+    };
+    for _ in 0..60 {
+        let (id, actions) = host.ask_within(UNSAFE, 3_000);
+        sent(&actions, &mut out);
+        asked.push(id);
+    }
+    let mut refusals = Vec::new();
+    for step in 1..=13 {
+        let mut actions = host.pass(100);
+        if let Some(id) = out.pop_front() {
+            actions.extend(host.end_with(id, 0, 1, Verdict::Ok, Some(Role::Primary)));
+        }
+        sent(&actions, &mut out);
+        let now = asked.iter().filter(|id| refused(&actions, **id).flatten().is_some()).count();
+        assert!(now == 0 || step >= 12, "{now} refused in step {step}");
+        refusals.push(now);
+    }
+    // Before this, all of them waited on, and went out with what was left of their time: of 2.85 s, 17 ms.
+    let refusals: usize = refusals.iter().sum();
+    assert!(refusals >= 20, "{refusals} were told to come back, with a time");
+    assert!(sends(&host.pass(1_600)).is_empty(), "nothing is left that goes out too late");
+    // Where there is no primary, it is held as long as it takes.
+    let mut without = Host::new(settings(), 3);
+    let (id, _) = without.ask_within(UNSAFE, 3_000);
+    for _ in 0..3 {
+        (1..=3).for_each(|at| drop(without.probed(at, false, 0)));
+        let actions = without.pass(500);
+        assert_eq!(refused(&actions, id), None, "held");
+    }
+}
+
 #[test]
 fn no_retry_after_where_clients_are_not_shown_one() {
     let mut host = Host::new(Settings { retry_after: false, max_attempts: 1, ..settings() }, 2);
--- a/crates/daemon/tests/peers/mod.rs
+++ b/crates/daemon/tests/peers/mod.rs
@@ -284,12 +284,18 @@
 
 /// Starts the pooler on what `config` holds.
 pub fn start(config: &str) -> (Child, std::path::PathBuf) {
+    start_with(config, |_| {})
+}
+
+/// The same with a command that `prepare` has changed.
+fn start_with(config: &str, prepare: impl FnOnce(&mut Command)) -> (Child, std::path::PathBuf) {
     static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
     let file = std::env::temp_dir().join(format!("linnetdeal-{}-{number}.json", std::process::id()));
     std::fs::write(&file, config).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_linnetdeal"));
-    (command.env("GW_CONFIG", &file).stderr(Stdio::piped()).spawn().unwrap(), file)
+    prepare(command.env("GW_CONFIG", &file).stderr(Stdio::piped()));
+    (command.spawn().unwrap(), file)
 }
 
 impl Pooler {
@@ -304,7 +310,20 @@
 
     /// One with this configuration.
     pub fn on(config: &str) -> Self {
-        let (mut child, file) = start(config);
+        Self::with(config, |_| {})
+    }
+
+    /// One of several processes that the listening socket is handed down to, and that share a folder.
+    pub fn beside(config: &str, listener: &TcpListener, folder: &std::path::Path) -> Self {
+        use std::os::fd::AsRawFd;
+        rustix::io::fcntl_setfd(listener, rustix::io::FdFlags::empty()).unwrap();
+        Self::with(config, |command| {
+            command.env("GW_LISTEN_FD", listener.as_raw_fd().to_string()).env("TMPDIR", folder);
+        })
+    }
+
+    fn with(config: &str, prepare: impl FnOnce(&mut Command)) -> Self {
+        let (mut child, file) = start_with(config, prepare);
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
         let (sender, log) = channel();
         std::thread::spawn(move || {
@@ -314,9 +333,10 @@
                 }
             }
         });
-        let first = log.recv_timeout(PATIENCE).unwrap();
-        let address = first.rsplit(' ').next().unwrap().parse().unwrap();
-        Self { child, address, log, file }
+        // Whatever goes wrong from here on, the process is ended when this is dropped.
+        let mut pooler = Self { child, address: ([127, 0, 0, 1], 0).into(), log, file };
+        pooler.address = pooler.logged("listening on ").rsplit(' ').next().unwrap().parse().unwrap();
+        pooler
     }
 
     pub fn signal(&self, name: &str) {
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -721,10 +721,7 @@
     let discovery = Discovery::new();
     let known = vec![one.entry("up", "replica"), two.entry("up", "replica")];
     let mut config: Value = serde_json::from_str(&config(&discovery, known, 1_024)).unwrap();
-    // A port that was free a moment ago: the program is told where to listen, and says nothing of it.
-    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let desk = free.local_addr().unwrap();
-    drop(free);
+    let desk = free_port();
     config["operator"] = desk.to_string().into();
     let pooler = Pooler::on(&config.to_string());
     // These finish no call.
@@ -764,3 +761,85 @@
     assert_eq!(front.ask("").tags, "IZ");
     drop(silent);
 }
+
+/// A port that was free a moment ago: the program is told where to listen for calls, and says nothing of it.
+fn free_port() -> std::net::SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+#[test]
+fn a_newer_process_takes_the_clients_and_the_bans_and_none_of_them_is_cut() {
+    let (open, busy_server) = held("s-1");
+    let (two, three) = (plain("s-2", "replica"), plain("s-3", "replica"));
+    let discovery = Discovery::new();
+    let folder = std::env::temp_dir().join(format!("linnetdeal-overlap-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let door = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let known = || vec![busy_server.entry("up", ""), two.entry("up", ""), three.entry("up", "")];
+    let begin = || {
+        let mut config: Value = serde_json::from_str(&config(&discovery, known(), 1_024)).unwrap();
+        let desk = free_port();
+        config["operator"] = desk.to_string().into();
+        (Pooler::beside(&config.to_string(), &door, &folder), desk)
+    };
+    let ready = |desk| {
+        let mut tries = 0..100_000;
+        assert!(tries.any(|_| call(desk, "GET /-/ready") == "200"), "it says yes in the end");
+    };
+    let served = |client: &mut Client, by: &[&str]| {
+        let value = String::from_utf8(client.ask(&menu("9")).value.unwrap()).unwrap();
+        assert!(by.contains(&value.as_str()), "{value}");
+    };
+    let (mut older, desk) = begin();
+    ready(desk);
+    for id in ["s-2", "s-3"] {
+        assert_eq!(call(desk, &format!("POST /-/servers/{id}/disable")), "200");
+    }
+    let mut busy = Client::connect(&older);
+    busy.send(&menu("1"));
+    while busy_server.got().is_empty() {
+        std::thread::yield_now();
+    }
+    let (mut usual, mut idle) = (Client::connect(&older), Client::connect(&older));
+
+    // What either is told by hand, both keep.
+    let (newer, next) = begin();
+    ready(next);
+    assert_eq!(call(next, "POST /-/servers/s-2/enable"), "200");
+    older.logged("server s-2 back by hand, as the other process was told");
+    assert_eq!(call(desk, "POST /-/servers/s-1/disable"), "200");
+    let out = newer.logged("as the other process was told");
+    let out = if out.contains("s-1 out") { out } else { newer.logged("s-1 out by hand, as") };
+    assert!(out.contains("server s-1 out"), "{out}");
+    served(&mut usual, &["s-2"]);
+
+    // From SIGTERM on only the newer one accepts; who has its answer from the older one is parted from with it.
+    older.signal("TERM");
+    older.logged("for a newer process");
+    let before = older.counters();
+    let mut late = Client::connect(&newer);
+    for _ in 0..5 {
+        served(&mut late, &["s-2"]);
+    }
+    assert!(newer.counters().contains(" taken=5 "), "all went there");
+    served(&mut usual, &["s-2"]);
+    assert!(usual.0.message().is_none() && !usual.0.reset, "an end behind the answer");
+    drop(open);
+    assert_eq!(busy.answer().value.as_deref(), Some(&b"s-1"[..]));
+    assert!(busy.0.message().is_none() && !busy.0.reset);
+    // Closed while idle only at the end, and then without a request to serve the older process has nothing to stay for.
+    assert!(idle.0.message().is_none() && !idle.0.reset);
+    assert!(older.child.wait().unwrap().success());
+    let after = older.logged("counters");
+    assert!(
+        before.contains(" taken=2 ") && after.contains(" taken=3 ") && after.contains(" served=3 "),
+        "{after}"
+    );
+
+    // Both calls hold in the process that is left, and it can end them.
+    served(&mut late, &["s-2"]);
+    assert_eq!(call(next, "POST /-/servers/s-3/enable"), "200");
+    let used = (0..5_000).any(|_| late.ask(&menu("7")).value.as_deref() == Some(b"s-3"));
+    assert!(used, "it is used again");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/crates/net/src/config.rs
+++ b/crates/net/src/config.rs
@@ -142,7 +142,13 @@
         let text = std::fs::read_to_string(path)
             .map_err(|error| ConfigError::Read { path: path.display().to_string(), error })?;
         let inside = |error| ConfigError::In { path: path.display().to_string(), error: Box::new(error) };
-        Self::decode(&text).map_err(inside)
+        let mut config = Self::decode(&text).map_err(inside)?;
+        // Told to each process by itself, so that two of them can be called while one takes the other's place.
+        if let Ok(own) = std::env::var("GW_OPERATOR") {
+            let wrong = |_| ConfigError::Settings(format!("GW_OPERATOR '{own}' is no address"));
+            config.operator = Some(own.trim().parse().map_err(wrong)?);
+        }
+        Ok(config)
     }
 
     /// Decodes a configuration.
--- a/crates/net/src/discovery.rs
+++ b/crates/net/src/discovery.rs
@@ -4,6 +4,7 @@
 use super::http::{self, HttpError};
 use crate::config::{ServerList, duration, span_of};
 use crate::counters::Counters;
+use crate::flag::Flag;
 use crate::members::{Feed, PLATFORM};
 use async_io::{Async, Timer};
 use event_listener::Event as Bell;
@@ -62,13 +63,20 @@
     counters: Rc<Counters>,
     /// The number of the last message: what comes later is newer.
     messages: Cell<i64>,
+    heard: Rc<Flag>,
 }
 
 impl Follower {
     /// One that follows `source` and tells `feed`.
     #[must_use]
     pub fn new(source: Rc<Source>, feed: Feed, counters: Rc<Counters>) -> Self {
-        Self { source, feed, counters, messages: Cell::new(0) }
+        Self { source, feed, counters, messages: Cell::new(0), heard: Rc::default() }
+    }
+
+    /// Raised once discovery has said anything, be it that there is nothing new.
+    #[must_use]
+    pub fn heard(&self) -> Rc<Flag> {
+        self.heard.clone()
     }
 
     /// Takes a list in; `whole` overrides what it says of itself.
@@ -182,6 +190,7 @@
 fn take_lines(node: &Follower, text: &mut Vec<u8>, generation: &mut u64) -> Result<(), WatchError> {
     while let Some(end) = text.iter().position(|byte| *byte == b'\n') {
         let line = text[..end].trim_ascii();
+        node.heard.raise();
         if !line.is_empty() {
             let list: ServerList = serde_json::from_slice(line)?;
             *generation = list.generation;
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -63,9 +63,20 @@
 pub fn inherit(number: i32) -> io::Result<Async<TcpListener>> {
     use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
     let own = pidfd_open(getpid(), PidfdFlags::empty())?;
-    let listener = TcpListener::from(pidfd_getfd(own, number, PidfdGetfdFlags::empty())?);
-    listener.local_addr()?;
-    Async::new(listener)
+    let taken = pidfd_getfd(own, number, PidfdGetfdFlags::empty());
+    let missing =
+        |error| io::Error::new(io::ErrorKind::InvalidInput, format!("descriptor {number}: {error}"));
+    let listener = TcpListener::from(taken.map_err(missing)?);
+    let wrong = |words: &str| {
+        let words = format!("descriptor {number} is no listening TCP socket: {words}");
+        io::Error::new(io::ErrorKind::InvalidInput, words)
+    };
+    listener.local_addr().map_err(|error| wrong(&error.to_string()))?;
+    match rustix::net::sockopt::socket_acceptconn(&listener) {
+        Ok(true) => Async::new(listener),
+        Ok(false) => Err(wrong("nobody listens on it")),
+        Err(error) => Err(wrong(&error.to_string())),
+    }
 }
 
 /// What those need who serve clients.
@@ -218,17 +229,7 @@
         self.send(&[&out]).await?;
         self.stream.get_ref().shutdown(Shutdown::Write)?;
         self.buffer = ReadBuffer::default();
-        let rest = async {
-            // One that sends at full speed holds up nobody else.
-            while matches!(discard(&self.stream, &self.door.scratch).await, Ok(1..)) {
-                yield_now().await;
-            }
-        };
-        let enough = async {
-            Timer::after(PARTING).await;
-        };
-        let work = or(rest, or(enough, self.door.life.ending.raised()));
-        self.seat.yielding(Rank::Parting, Instant::now(), work).await;
+        self.linger().await;
         Ok(())
     }
 
@@ -290,6 +291,9 @@
                     if matches!(tag, b'Q' | b'S') {
                         write::ready(&mut out);
                     }
+                    if self.parts() {
+                        return self.last(&[&out]).await;
+                    }
                     self.send(&[&out]).await?;
                 }
                 Command::Rejected(code, words) => {
@@ -446,11 +450,11 @@
 
     async fn answer(&self, answer: Final<Reply>, out: &mut Vec<u8>) -> Result<bool, ClientError> {
         match answer {
-            Final::Gone => return Ok(false),
+            Final::Gone => Ok(false),
             Final::Served(reply) => {
                 write::ready(out);
                 let pieces: Vec<&[u8]> = reply.pieces().chain([out.as_slice()]).collect();
-                self.send(&pieces).await?;
+                self.finish(&pieces).await
             }
             Final::Refused(retry_after) => {
                 let ms = retry_after.map(|after| after.0.max(0).unsigned_abs().div_ceil(1_000).to_string());
@@ -462,16 +466,59 @@
                     ms.as_deref(),
                 );
                 write::ready(out);
-                self.send(&[out]).await?;
+                self.finish(&[out]).await
             }
             Final::Failed { .. } => {
                 write::error(out, Severity::Error, "08007", "no answer; it may have been carried out", None);
                 write::ready(out);
-                self.send(&[out]).await?;
+                self.finish(&[out]).await
             }
         }
+    }
+
+    /// Sends a final answer; false if the connection ends with it.
+    async fn finish(&self, pieces: &[&[u8]]) -> Result<bool, ClientError> {
+        if self.parts() {
+            self.last(pieces).await?;
+            return Ok(false);
+        }
+        self.send(pieces).await?;
         Ok(true)
     }
+
+    /// Whether the client goes over to a newer process with the next answer: not while it has sent more already.
+    fn parts(&self) -> bool {
+        let nothing = |error: io::Error| error.kind() == io::ErrorKind::WouldBlock;
+        self.door.life.parting.is_up()
+            && self.buffer.data().is_empty()
+            && self.stream.get_ref().peek(&mut [0]).is_err_and(nothing)
+    }
+
+    /// Sends the last answer on a connection, with the end of the connection in the same segment: the client can't have
+    /// begun anything that this end would cross. What it sends all the same is read, since a reset would take the answer.
+    async fn last(&self, pieces: &[&[u8]]) -> Result<(), ClientError> {
+        let stream = self.stream.get_ref();
+        rustix::net::sockopt::set_tcp_cork(stream, true).map_err(io::Error::from)?;
+        self.send(pieces).await?;
+        stream.shutdown(Shutdown::Write)?;
+        self.linger().await;
+        Ok(())
+    }
+
+    /// Reads what the client still writes, until it has closed as well or enough time has passed.
+    async fn linger(&self) {
+        let rest = async {
+            // One that sends at full speed holds up nobody else.
+            while matches!(discard(&self.stream, &self.door.scratch).await, Ok(1..)) {
+                yield_now().await;
+            }
+        };
+        let enough = async {
+            Timer::after(PARTING).await;
+        };
+        let work = or(rest, or(enough, self.door.life.ending.raised()));
+        self.seat.yielding(Rank::Parting, Instant::now(), work).await;
+    }
 }
 
 /// Ends when the client has closed its connection. What it sends ahead is kept, within bounds.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,7 +1,6 @@
 //! The daemon: the decisions on real sockets. One executor on one thread carries all tasks.
 
 pub mod alarms;
-pub mod bans;
 pub mod buffer;
 pub mod clock;
 pub mod config;
@@ -22,14 +21,18 @@
 pub mod request;
 pub mod seats;
 pub mod signals;
+pub mod succession;
 pub mod upstream;
 
 use crate::config::Config;
 use async_executor::LocalExecutor;
+use async_io::Timer;
 use counters::Shown;
 use discovery::{Follower, Source};
 use doubts::Doubts;
 use driver::Driver;
+use flag::Flag;
+use futures_lite::future::or;
 use life::Life;
 use linnetdeal_core::Router;
 use linnetdeal_core::backoff::Backoff;
@@ -41,8 +44,12 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::time::Duration;
+use succession::Shared;
 use upstream::Pool;
 
+/// A process that takes another's place waits no longer for the first word of discovery.
+const FIRST_WORD: Duration = Duration::from_millis(500);
 /// Bytes that nobody wants are read so many at a time.
 const SCRATCH: usize = 64 * 1024;
 
@@ -91,16 +98,32 @@
         let (tells, told) = async_channel::bounded(peers::MOST_WAITING);
         let driver = Rc::new(Driver::new(router, counters.clone(), probes, tells));
         let longest_deadline = config.host.longest_deadline;
+        let handed = std::env::var("GW_LISTEN_FD").ok();
+        let sockets = config.sockets;
         // Of the descriptors some are kept for the process itself and for clients that are told to go away.
-        let reserve = (config.sockets / 4).min(40);
-        let shared = config.sockets - reserve;
-        let (spare_clients, most_upstream) = ((shared / 24).max(8).min(shared / 4), shared * 3 / 8);
-        let pool = Rc::new(Pool::new(members.clone(), counters.clone(), config.host, most_upstream));
+        let reserve = (sockets / 4).min(40);
+        let rest = sockets - reserve;
+        let (spare_clients, most_upstream) = ((rest / 24).max(8).min(rest / 4), rest * 3 / 8);
+        // Two processes that overlap may hold no more descriptors than one. Their clients are the same, whichever of them
+        // each came to; the servers' part is halved where one can be handed the listening socket.
+        let to_servers = if handed.is_some() { most_upstream / 2 } else { most_upstream };
+        let pool = Rc::new(Pool::new(members.clone(), counters.clone(), config.host, to_servers));
         let source = Rc::new(Source::new(config.discovery));
         let feed = Feed::new(members, driver.clone());
-        let seats = Seats::new(shared - most_upstream - spare_clients, spare_clients, config.sockets / 4);
+        let seats = Seats::new(rest - most_upstream - spare_clients, spare_clients, sockets / 4);
         let seats = Rc::new(seats);
         let doubts = Rc::new(Doubts::default());
+        let folder = std::env::var_os("TMPDIR").filter(|_| config.operator.is_some()).map(PathBuf::from);
+        let shared = folder.and_then(|folder| {
+            let opened = Shared::open(&folder);
+            let failed = |error: &std::io::Error| {
+                tracing::warn!(
+                    "nothing is shared with other processes of this pooler, {}: {error}",
+                    folder.display()
+                );
+            };
+            opened.inspect_err(failed).ok().map(Rc::new)
+        });
         shown.add(doubts.clone());
         shown.add(driver.clone());
         let handler = signals::Handler {
@@ -110,6 +133,7 @@
             shown: shown.clone(),
             source: source.clone(),
             config_file,
+            shared: shared.clone(),
             longest_deadline,
         };
         let door = frontend::Door {
@@ -127,23 +151,27 @@
         };
 
         // Who was out by hand stays out, whatever the list says; it must be known before it.
-        let file = std::env::var_os("TMPDIR").map(|folder| PathBuf::from(folder).join("linnetdeal.bans"));
-        let file = file.filter(|_| config.operator.is_some());
-        match file.as_deref().map(bans::load) {
-            Some(Ok(banned)) => feed.inherit(banned),
+        let changes = shared.as_ref().map(|shared| shared.look());
+        match changes {
+            Some(Ok((changes, strange))) => {
+                feed.by_word(&changes);
+                if strange > 0 {
+                    tracing::warn!("{strange} files among those of the servers out by hand name no server");
+                }
+            }
             Some(Err(error)) => tracing::warn!("who was out by hand is not known: {error}"),
             None => {}
         }
         // The list last held comes first: a pooler serves from it while discovery is down.
         let follower = Follower::new(source, feed.clone(), counters);
         follower.take(&config.known, true);
-        let listener = match std::env::var("GW_LISTEN_FD") {
-            Ok(number) => {
+        let listener = match &handed {
+            Some(number) => {
                 let bad =
                     |_| std::io::Error::new(std::io::ErrorKind::InvalidInput, "GW_LISTEN_FD is no number");
                 number.trim().parse().map_err(bad).and_then(frontend::inherit)
             }
-            Err(_) => frontend::listen(config.listen),
+            None => frontend::listen(config.listen),
         };
         let listener = listener.map_err(|error| RunError::Listen(config.listen, error))?;
         let listening = listener.get_ref().local_addr().unwrap_or(config.listen);
@@ -152,21 +180,58 @@
         executor.spawn(async move { a.run_wakes().await }).detach();
         executor.spawn(async move { b.run_upkeep().await }).detach();
         executor.spawn(async move { c.run_alarms().await }).detach();
+        if let Some(shared) = shared.clone() {
+            if let Err(error) = shared.claim() {
+                tracing::warn!("an older process of this pooler won't know of this one: {error}");
+            }
+            let feed = feed.clone();
+            let look = async move { shared.follow(|changes| feed.by_word(&changes)).await };
+            executor.spawn(look).detach();
+        }
+        // An older process goes on taking clients meanwhile; by the list that it was started with, this one would send
+        // to servers that are long gone.
+        let open = Rc::new(Flag::default());
+        if handed.is_some() {
+            let (open, heard) = (open.clone(), follower.heard());
+            let wait = or(async move { heard.raised().await }, async {
+                let _ = Timer::after(FIRST_WORD).await;
+            });
+            executor
+                .spawn(async move {
+                    wait.await;
+                    open.raise()
+                })
+                .detach();
+        } else {
+            open.raise();
+        }
         if let Some(address) = config.operator {
             let calls = operation::listen(address).map_err(|error| RunError::Listen(address, error))?;
             let (executor, life, feed) = (executor.clone(), life.clone(), feed.clone());
-            let desk = Rc::new(operation::Desk { executor: executor.clone(), life, feed, file });
+            let (shared, open) = (shared.clone(), open.clone());
+            let desk = Rc::new(operation::Desk { executor: executor.clone(), life, feed, shared, open });
             executor.spawn(operation::run(desk, calls)).detach();
         }
         if let Some(addresses) = config.peers {
-            let driver = driver.clone();
-            executor
-                .spawn(async move { peers::Talk::open(addresses, driver).await.run(told).await })
-                .detach();
+            let (driver, life, replaced) = (driver.clone(), life.clone(), handed.is_some());
+            let talk = async move { peers::Talk::open(addresses, driver).await.run(told).await };
+            // The address is the newer process's as soon as this one leaves.
+            let left = async move {
+                life.draining.raised().await;
+                if !replaced {
+                    std::future::pending::<()>().await;
+                }
+            };
+            executor.spawn(or(talk, left)).detach();
         }
         executor.spawn(probes::run(executor.clone(), driver, pool, wanted)).detach();
         executor.spawn(discovery::run(follower, config.known.generation, backoff)).detach();
-        executor.spawn(frontend::run(Rc::new(door), listener)).detach();
+        executor
+            .spawn(async move {
+                open.raised().await;
+                frontend::run(Rc::new(door), listener).await;
+            })
+            .detach();
         Ok(Self { executor, life, shown, feed, name: config.name, listening })
     }
 
--- a/crates/net/src/life.rs
+++ b/crates/net/src/life.rs
@@ -7,6 +7,8 @@
 pub struct Life {
     /// It has been told to end: it serves on, but wants nothing new for longer than that.
     pub draining: Flag,
+    /// A newer process takes the clients: each answer ends its connection.
+    pub parting: Flag,
     /// Idle clients are closed.
     pub closing: Flag,
     /// Nobody is accepted any more.
--- a/crates/net/src/members.rs
+++ b/crates/net/src/members.rs
@@ -2,6 +2,7 @@
 
 use crate::driver::Driver;
 use linnetdeal_core::membership::{Doubt, Known, Membership, News, SourceId, Taken};
+use linnetdeal_core::succession::Changes;
 use linnetdeal_core::*;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -78,15 +79,34 @@
     pub fn by_hand(&self, member: &MemberId, out: bool) -> bool {
         let taken = self.members.0.borrow_mut().by_hand(member, out);
         let known = taken.is_some();
-        if let Some(taken) = taken.filter(|taken| !taken.changed.is_empty()) {
-            self.driver.feed(Event::List(Listing::Changes(taken.changed)));
-        }
+        self.changed(taken.unwrap_or_default().changed);
         known
     }
 
-    /// Takes over who is out by hand from an earlier process.
-    pub fn inherit(&self, banned: impl IntoIterator<Item = MemberId>) {
-        self.members.0.borrow_mut().inherit(banned);
+    /// Takes over what another process of this pooler was told by hand.
+    pub fn by_word(&self, changes: &Changes) {
+        let out = changes.out.iter().map(|member| (member, true));
+        for (member, out) in out.chain(changes.back.iter().map(|member| (member, false))) {
+            tracing::info!(
+                "server {} {} by hand, as the other process was told",
+                member.0,
+                if out { "out" } else { "back" }
+            );
+            let taken = self.members.0.borrow_mut().by_word(member, out);
+            self.changed(taken.changed);
+        }
+    }
+
+    fn changed(&self, entries: Vec<Entry>) {
+        if !entries.is_empty() {
+            self.driver.feed(Event::List(Listing::Changes(entries)));
+        }
+    }
+
+    /// Whether anybody is known who takes new work.
+    #[must_use]
+    pub fn serves(&self) -> bool {
+        self.members.0.borrow().iter().any(|(_, known)| known.state == ListState::Healthy)
     }
 
     /// Who is out by hand.
@@ -98,9 +118,7 @@
     /// Takes news in and passes what it changes to the module at once.
     pub fn tell(&self, source: SourceId, news: News) -> Taken {
         let taken = self.members.0.borrow_mut().take(self.now(), source, news);
-        if !taken.changed.is_empty() {
-            self.driver.feed(Event::List(Listing::Changes(taken.changed.clone())));
-        }
+        self.changed(taken.changed.clone());
         if !taken.forgotten.is_empty() {
             self.driver.feed(Event::List(Listing::Forgotten(taken.forgotten.clone())));
         }
--- a/crates/net/src/operation.rs
+++ b/crates/net/src/operation.rs
@@ -1,8 +1,10 @@
 //! The second address: calls of the people on call, over HTTP/1.1, one a connection. However many hold a connection open
 //! without a call, each has a task and a limit of its own, and beyond a bound nobody is let in.
 
+use crate::flag::Flag;
 use crate::life::Life;
 use crate::members::Feed;
+use crate::succession::{LONGEST_ID, Shared};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future::or;
@@ -15,7 +17,6 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,16 +28,16 @@
 /// No head of a call is longer, in bytes.
 const LONGEST_CALL: usize = 16 * 1024;
 const PAUSE: Duration = Duration::from_millis(20);
-/// An id that is longer was never listed.
-const LONGEST_ID: usize = 256;
 
 /// What calls act on.
 pub(crate) struct Desk {
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) life: Rc<Life>,
     pub(crate) feed: Feed,
-    /// Where it is kept who is out by hand, for the process that takes this one's place.
-    pub(crate) file: Option<PathBuf>,
+    /// Where it stands who is out by hand, for the process that takes this one's place, and from it.
+    pub(crate) shared: Option<Rc<Shared>>,
+    /// The list was heard of, or enough time has passed: clients are taken.
+    pub(crate) open: Rc<Flag>,
 }
 
 /// Opens the address.
@@ -104,6 +105,9 @@
             ["ready"] if self.life.drained.since().is_some() => {
                 no(StatusCode::SERVICE_UNAVAILABLE, "drained")
             }
+            ["ready"] if !self.open.is_up() || !self.feed.serves() => {
+                no(StatusCode::SERVICE_UNAVAILABLE, "no list of servers yet")
+            }
             ["ready"] => no(StatusCode::OK, "ready"),
             ["servers", id, what] => self.server(id, what == "disable"),
             _ => {
@@ -122,8 +126,9 @@
         }
         let banned = self.feed.banned();
         tracing::info!("server {id} {} by hand, {} out", if out { "out" } else { "back" }, banned.len());
-        if let Some(Err(error)) = self.file.as_deref().map(|file| crate::bans::save(file, &banned)) {
-            tracing::warn!("who is out by hand is not kept for the next process: {error}");
+        if let Some(Err(error)) = self.shared.as_ref().map(|shared| shared.put(&MemberId(Arc::from(id)), out))
+        {
+            tracing::warn!("other processes of this pooler don't learn of it: {error}");
         }
         (StatusCode::OK, if out { "out" } else { "back" }.to_owned())
     }
--- a/crates/net/src/signals.rs
+++ b/crates/net/src/signals.rs
@@ -1,33 +1,21 @@
 //! Signals: SIGTERM or SIGINT drains the pooler, SIGHUP reads the configuration again, SIGUSR1 prints the counters.
 
-use crate::config::Config;
+use crate::config::{Config, duration, span_of};
 use crate::counters::Shown;
 use crate::discovery::Source;
 use crate::life::Life;
 use crate::seats::Seats;
+use crate::succession::Shared;
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
+use linnetdeal_core::succession::Leaving;
 use std::io;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Connections keep arriving for up to 0.4 s after SIGTERM; until a little later nothing changes for clients,
-const ARRIVALS: Duration = Duration::from_millis(500);
-/// and for as long as there is this much time left for what is under way. Who has a connection has no other
-/// pooler while it lasts, so to close it early fails what would have been asked on it.
-const PARTING: Duration = Duration::from_millis(700);
-/// For this long after that a straggler is still accepted, served and closed.
-const STRAGGLERS: Duration = Duration::from_millis(250);
-/// SIGKILL comes no earlier than the longest deadline, counted as no more than this, and a grace.
-const LONGEST_COUNTED: Duration = Duration::from_secs(3);
-const KILL_GRACE: Duration = Duration::from_millis(700);
-/// What is still open so long before SIGKILL is answered at once.
-const MARGIN: Duration = Duration::from_millis(400);
-/// The time in which those last answers are written.
-const FLUSH: Duration = Duration::from_millis(150);
 const LOOK: Duration = Duration::from_millis(10);
 
 /// What signals act on.
@@ -44,6 +32,8 @@
     pub(crate) source: Rc<Source>,
     /// Where the configuration was read, and is read again.
     pub(crate) config_file: PathBuf,
+    /// What is shared with a process that takes this one's place.
+    pub(crate) shared: Option<Rc<Shared>>,
     /// The longest deadline of any class.
     pub(crate) longest_deadline: Duration,
 }
@@ -88,23 +78,31 @@
     }
 }
 
-/// Serves on while there is time, then closes clients as they fall idle, and ends when none is left.
+/// Leaves by the plan: serves on while there is time, and ends when no client is left.
 async fn drain(handler: &Handler) {
     let started = Instant::now();
-    handler.life.draining.raise();
-    tracing::info!("draining with {} clients connected", handler.seats.taken());
-    let last = handler.longest_deadline.min(LONGEST_COUNTED) + KILL_GRACE - MARGIN;
-    Timer::after(last.saturating_sub(PARTING).max(ARRIVALS)).await;
-    handler.life.closing.raise();
-    Timer::after(STRAGGLERS).await;
-    handler.life.deaf.raise();
-    while handler.seats.taken() > 0 && started.elapsed() < last {
-        Timer::after(LOOK).await;
+    let life = &handler.life;
+    let taken = handler.shared.as_ref().is_some_and(|shared| shared.place_taken());
+    let plan = Leaving::plan(span_of(handler.longest_deadline), taken);
+    life.draining.raise();
+    let clients = handler.seats.taken();
+    tracing::info!(
+        "draining with {clients} clients connected{}",
+        if taken { ", for a newer process" } else { "" }
+    );
+    let mut steps = vec![(plan.closing, &life.closing), (plan.deaf, &life.deaf)];
+    steps.extend(plan.parting.map(|at| (at, &life.parting)));
+    steps.sort_by_key(|(at, _)| *at);
+    for (at, stage) in steps {
+        if let Some(wait) = duration(at).checked_sub(started.elapsed()) {
+            Timer::after(wait).await;
+        }
+        stage.raise();
     }
-    handler.life.ending.raise();
-    let last = last + FLUSH;
-    while handler.seats.taken() > 0 && started.elapsed() < last {
-        Timer::after(LOOK).await;
+    for (until, stage) in [(plan.ending, &life.ending), (plan.ended, &life.ended)] {
+        while handler.seats.taken() > 0 && started.elapsed() < duration(until) {
+            Timer::after(LOOK).await;
+        }
+        stage.raise();
     }
-    handler.life.ended.raise();
 }
--- /dev/null
+++ b/crates/net/src/succession.rs
@@ -0,0 +1,125 @@
+//! The facts that a process shares with the one that takes its place, as files of `$TMPDIR`: each stands or does not, so that
+//! none can be torn and no change of the other process is lost. `core/succession.rs` says what they mean.
+
+use async_io::Timer;
+use linnetdeal_core::MemberId;
+use linnetdeal_core::succession::{Bans, Changes};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+/// An empty file for each server that is out by hand, named by its id in hexadecimal digits.
+const OUT: &str = "linnetdeal.out";
+/// Names the newest process.
+const NEWEST: &str = "linnetdeal.newest";
+/// How often it is looked; nothing new goes to a server 0.25 s after the other process has said yes to a call.
+const LOOK: Duration = Duration::from_millis(50);
+/// A folder that changed less long ago may have changed once more within one tick of the file system's clock.
+const SETTLED: Duration = Duration::from_secs(1);
+/// An id that is longer, in bytes, has no name of a file.
+pub const LONGEST_ID: usize = 120;
+
+/// What is shared, as this process sees it.
+#[derive(Debug)]
+pub struct Shared {
+    folder: PathBuf,
+    own: String,
+    bans: RefCell<Bans>,
+    seen: Cell<Option<SystemTime>>,
+}
+
+impl Shared {
+    /// Opens the part of `folder` that holds it.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be made.
+    pub fn open(folder: &Path) -> io::Result<Self> {
+        std::fs::create_dir_all(folder.join(OUT))?;
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let own = format!("{}-{}", std::process::id(), now.as_nanos());
+        let (bans, seen) = (RefCell::default(), Cell::new(None));
+        Ok(Self { folder: folder.to_owned(), own, bans, seen })
+    }
+
+    /// Says that this process is the newest.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be written.
+    pub fn claim(&self) -> io::Result<()> {
+        let beside = self.folder.join(format!("{NEWEST}.{}", self.own));
+        std::fs::write(&beside, &self.own)?;
+        std::fs::rename(&beside, self.folder.join(NEWEST))
+    }
+
+    /// Whether a newer process has said so since. What can't be read says nothing.
+    #[must_use]
+    pub fn place_taken(&self) -> bool {
+        let newest = std::fs::read(self.folder.join(NEWEST));
+        newest.is_ok_and(|newest| !newest.is_empty() && newest != self.own.as_bytes())
+    }
+
+    /// Writes down that a server is out by hand, or takes that away.
+    ///
+    /// # Errors
+    ///
+    /// When the file system refuses; the call holds in this process all the same.
+    pub fn put(&self, member: &MemberId, out: bool) -> io::Result<()> {
+        let digits: String = member.0.bytes().map(|byte| format!("{byte:02x}")).collect();
+        let file = self.folder.join(OUT).join(digits);
+        if out {
+            std::fs::write(file, "")?;
+        } else if let Err(error) = std::fs::remove_file(file) {
+            // One call back is enough, and a second one changes nothing.
+            if error.kind() != io::ErrorKind::NotFound {
+                return Err(error);
+            }
+        }
+        self.bans.borrow_mut().set(member, out);
+        Ok(())
+    }
+
+    /// What the other process has changed, and how many files there are none of this program's.
+    ///
+    /// # Errors
+    ///
+    /// When the folder can't be read; who is out stays out.
+    pub fn look(&self) -> io::Result<(Changes, usize)> {
+        let folder = self.folder.join(OUT);
+        let modified = std::fs::metadata(&folder)?.modified()?;
+        let old = modified.elapsed().is_ok_and(|age| age > SETTLED);
+        if old && self.seen.replace(Some(modified)) == Some(modified) {
+            return Ok(Default::default());
+        }
+        let (mut found, mut strange) = (BTreeSet::new(), 0);
+        for entry in std::fs::read_dir(folder)? {
+            match entry?.file_name().to_str().and_then(id) {
+                Some(id) => drop(found.insert(id)),
+                None => strange += 1,
+            }
+        }
+        Ok((self.bans.borrow_mut().look(found), strange))
+    }
+
+    /// Looks for ever, and hands on what the other process has changed.
+    pub async fn follow(&self, mut take: impl FnMut(Changes)) {
+        loop {
+            Timer::after(LOOK).await;
+            if let Ok((changes, _)) = self.look() {
+                take(changes);
+            }
+        }
+    }
+}
+
+/// The id that a file is named by.
+fn id(name: &str) -> Option<MemberId> {
+    let digit = |at: usize| name.get(at..at + 2).and_then(|two| u8::from_str_radix(two, 16).ok());
+    let bytes: Option<Vec<u8>> = (0..name.len()).step_by(2).map(digit).collect();
+    let text = String::from_utf8(bytes.filter(|bytes| !bytes.is_empty())?).ok()?;
+    Some(MemberId(Arc::from(text.as_str())))
+}
--- a/crates/net/tests/parsers.rs
+++ b/crates/net/tests/parsers.rs
@@ -81,24 +81,44 @@
 }
 
 #[test]
-fn who_is_out_by_hand_is_read_back_and_what_is_no_such_file_is_refused() {
+fn two_processes_share_who_is_out_by_hand_and_which_is_the_newest() {
     use linnetdeal_core::MemberId;
-    use linnetdeal_net::bans::{load, save};
-    let folder = std::env::temp_dir().join(format!("linnetdeal-bans-{}", std::process::id()));
+    use linnetdeal_core::succession::Changes;
+    use linnetdeal_net::succession::Shared;
+    let folder = std::env::temp_dir().join(format!("linnetdeal-shared-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
-    let file = folder.join("linnetdeal.bans");
-    assert_eq!(load(&file).unwrap(), []);
-    let ids = ["s-1", "s \"2\"\n", ""].map(|id| MemberId(id.into()));
-    save(&file, &ids).unwrap();
-    assert_eq!(load(&file).unwrap(), ids);
-    let whole = std::fs::read(&file).unwrap();
-    for size in 0..whole.len() - 1 {
-        std::fs::write(&file, &whole[..size]).unwrap();
-        assert!(load(&file).is_err(), "{size} of {} bytes", whole.len());
+    let ids = ["s-1", "s \"2\"\n/..", "\u{1f426}"].map(|id| MemberId(id.into()));
+    let (older, newer) = (Shared::open(&folder).unwrap(), Shared::open(&folder).unwrap());
+    older.claim().unwrap();
+    assert!(!older.place_taken());
+    ids.iter().for_each(|id| older.put(id, true).unwrap());
+    let mut changes = newer.look().unwrap().0;
+    changes.out.sort();
+    assert_eq!(
+        changes,
+        Changes {
+            out: {
+                let mut all = ids.to_vec();
+                all.sort();
+                all
+            },
+            back: vec![]
+        }
+    );
+    // What either ends, both end; what one calls twice, changes nothing.
+    newer.put(&ids[0], false).unwrap();
+    newer.put(&ids[0], false).unwrap();
+    assert_eq!(older.look().unwrap().0, Changes { out: vec![], back: vec![ids[0].clone()] });
+    assert_eq!(newer.look().unwrap().0, Changes::default(), "the own call is no news");
+    newer.claim().unwrap();
+    assert!(older.place_taken() && !newer.place_taken());
+    // Files of nobody's are counted and passed over; a folder that is gone brings nobody back.
+    for strange in ["zz", "7", "ff", "s-1"] {
+        std::fs::write(folder.join("linnetdeal.out").join(strange), "x").unwrap();
     }
-    std::fs::write(&file, "linnetdeal bans 2\n[]\n").unwrap();
-    assert!(load(&file).is_err(), "another version");
+    assert_eq!(older.look().unwrap(), (Changes::default(), 4));
     std::fs::remove_dir_all(&folder).unwrap();
+    assert!(older.look().is_err() && older.put(&ids[0], true).is_err() && !older.place_taken());
 }
 
 #[test]
@@ -109,7 +129,13 @@
     let client = std::net::TcpStream::connect(held.local_addr().unwrap()).unwrap();
     let (_, from) = futures_lite::future::block_on(own.accept()).unwrap();
     assert_eq!(from, client.local_addr().unwrap());
-    assert!(linnetdeal_net::frontend::inherit(1_000_000).is_err());
+    // What is no listening TCP socket is refused with its number.
+    let (file, udp) =
+        (std::fs::File::open("/dev/null").unwrap(), std::net::UdpSocket::bind("127.0.0.1:0").unwrap());
+    for wrong in [1_000_000, file.as_raw_fd(), udp.as_raw_fd(), client.as_raw_fd()] {
+        let error = linnetdeal_net::frontend::inherit(wrong).unwrap_err().to_string();
+        assert!(error.starts_with(&format!("descriptor {wrong}")), "{error}");
+    }
 }
 
 /// A file that is broken in one place is refused whole, with the place: taken in part, its address of discovery led nowhere.
