Classes and attempts of a new configuration hold from SIGHUP on

Checked: the refusals of broken files stood already and still hold (six kinds). Change: core/retune.rs numbers classes over versions, Router::retune swaps the settings, each open request keeps its class and its attempts.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -7,6 +7,8 @@
 //! one's load is over the threshold do the next `FORWARD` in sorted order get a look, else the first pick
 //! serves. A write goes to the marked primary, walks on proof that nothing ran, and is then held.
 
+mod retune;
+
 use crate::handover::*;
 use crate::interface::*;
 use crate::pace::Pace;
@@ -275,6 +277,7 @@
             aim: (now + class.aim + stretch).min(deadline),
             deadline,
             attempts: Vec::new(),
+            most: self.settings.max_attempts,
             may_have_run: false,
             misses: 0,
             due: deadline,
@@ -291,7 +294,7 @@
         let chance = self.chance();
         let Some(open) = self.open.get(&id) else { return };
         let class = &self.settings.classes[open.class];
-        let spent = open.attempts.len() as u32 >= self.settings.max_attempts;
+        let spent = open.attempts.len() as u32 >= open.most;
         let ran = open.may_have_run && class.effect != Effect::Safe;
         // A read with less time left than an answer takes only keeps others waiting.
         let last = if class.late_worth > 0.0 { open.deadline } else { open.aim };
@@ -885,7 +888,7 @@
             self.give_up(now, id, actions);
             return;
         };
-        let spent = open.attempts.len() as u32 >= self.settings.max_attempts;
+        let spent = open.attempts.len() as u32 >= open.most;
         let twice = open.attempts.iter().filter(|attempt| attempt.open).count() > 1;
         let hedge = !spent && !twice && self.retries >= 1.0 && now < open.aim && self.stalled != now;
         let deadline = open.deadline;
--- /dev/null
+++ b/crates/core/src/choice/retune.rs
@@ -0,0 +1,24 @@
+//! The one step in which a router's settings change. It decides nothing.
+
+use super::Router;
+use crate::interface::{Class, Settings};
+use crate::pace::Pace;
+use crate::state::Counts;
+
+impl Router {
+    /// The classes that it knows, of all versions, by number.
+    #[must_use]
+    pub fn classes(&self) -> &[Class] {
+        &self.settings.classes
+    }
+
+    /// Goes by these settings from now on; their classes are those of [`crate::retune::merge`]. Open requests keep their
+    /// classes, and the attempts that they might have when they were taken. What is known of members stays.
+    pub fn retune(&mut self, settings: Settings) {
+        let new = settings.classes.iter().skip(self.pace.len());
+        self.pace.extend(new.map(|class| Pace::guess(class.aim)));
+        self.classes.resize(settings.classes.len(), Counts::default());
+        self.tenants.resize(settings.tenants.len(), Counts::default());
+        self.settings = Settings { changes: self.settings.changes, ..settings };
+    }
+}
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -179,7 +179,7 @@
     pub quota: f64,
 }
 
-/// What a router is told when it starts. It stays as it is while the router lives.
+/// What a router is told when it starts, and by [`crate::Router::retune`] later on.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The classes, by [`ClassId`].
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod membership;
 mod pace;
 pub mod peers;
+pub mod retune;
 pub mod settings;
 mod slowness;
 mod state;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -96,6 +96,8 @@
     pub(crate) aim: Time,
     pub(crate) deadline: Time,
     pub(crate) attempts: Vec<Attempt>,
+    /// It may have so many, by the settings when it was taken.
+    pub(crate) most: u32,
     /// An attempt may have run.
     pub(crate) may_have_run: bool,
     pub(crate) misses: u32,
--- /dev/null
+++ b/crates/core/tests/retune.rs
@@ -0,0 +1,45 @@
+//! Settings that change while a router works.
+
+mod common;
+use common::*;
+use linnetdeal_core::retune::{MOST_CLASSES, merge};
+use linnetdeal_core::*;
+
+#[test]
+fn a_class_that_differs_in_anything_gets_a_number_of_its_own() {
+    let held = settings().classes;
+    let changed = Class { effect: Effect::Unsafe, ..held[4].clone() };
+    let new = [held[2].clone(), class("more", Need::Any, Effect::Safe), changed.clone(), held[0].clone()];
+    let (all, numbers) = merge(&held, &new).unwrap();
+    assert_eq!(numbers, [ClassId(2), ClassId(6), ClassId(7), ClassId(0)]);
+    assert_eq!((&all[..6], &all[7]), (&held[..], &changed));
+    // Back and forth between two versions adds nothing; endless versions are refused at a bound.
+    assert_eq!(merge(&all, &held).unwrap().0, all);
+    assert_eq!(merge(&all, &new).unwrap().0, all);
+    let many: Vec<_> = (0..MOST_CLASSES).map(|at| class(&at.to_string(), Need::Any, Effect::Safe)).collect();
+    assert!(merge(&held, &many).is_none() && merge(&[], &many).is_some());
+}
+
+#[test]
+fn an_open_request_keeps_its_class_and_its_attempts_and_a_new_one_has_the_new_ones() {
+    let mut host = Host::new(settings(), 5);
+    host.probed(1, true, 0);
+    let (old, mut actions) = host.ask(ANY);
+    let mut new = settings();
+    // 'any' is a write that must not run twice now, and one attempt is all there is.
+    new.classes = vec![class("any", Need::Write, Effect::Unsafe)];
+    new.max_attempts = 1;
+    let (all, numbers) = merge(host.router.classes(), &new.classes).unwrap();
+    new.classes = all;
+    host.router.retune(new);
+    for attempt in 0..3 {
+        let to = sends(&actions).pop().expect("a read that is safe to repeat goes on to others");
+        let at = (1..=5).find(|at| member(*at) == to).unwrap();
+        actions = host.end(old, attempt, at, Verdict::ConnectFailed);
+        assert!(!failed(&actions, old));
+    }
+    let (id, actions) = host.ask(numbers[0]);
+    assert_eq!(sends(&actions), [member(1)]);
+    let actions = host.end(id, 0, 1, Verdict::Reset);
+    assert!(failed(&actions, id) && sends(&actions).is_empty(), "{actions:?}");
+}
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -451,6 +451,56 @@
     assert!(pooler.child.wait().unwrap().success());
 }
 
+#[test]
+fn a_new_configuration_changes_the_classes_and_a_broken_one_none() {
+    let (open, server) = held("s-1");
+    let discovery = Discovery::new();
+    let entry = || vec![server.entry("up", "master")];
+    let pooler = Pooler::new(&discovery, entry());
+    let mut busy = Client::connect(&pooler);
+    busy.send(&menu("1"));
+    while server.got().is_empty() {
+        std::thread::yield_now();
+    }
+    let good = config(&discovery, entry(), 1_024);
+    let changed = |change: &dyn Fn(&mut Value)| {
+        let mut config: Value = serde_json::from_str(&good).unwrap();
+        change(&mut config["settings"]);
+        config.to_string()
+    };
+    // 'bundle-menu' is dropped, 'top-up' is a read and may be repeated, and 'note' is new.
+    let whole = changed(&|of| {
+        of["Lanes"][0]["Name"] = "note".into();
+        of["Lanes"][2]["Effect"] = "retryable".into();
+        of["FamilyInfo"]["NeedsByClass"][2] = "eventual".into();
+        of["Limits"]["SendCap"] = 2.into();
+    });
+    let broken = [
+        (String::new(), "EOF"),
+        (whole[..whole.len() / 2].to_owned(), "EOF"),
+        (changed(&|of| drop(of.as_object_mut().unwrap().remove("Limits"))), "Limits"),
+        (changed(&|of| of["Lanes"][1]["Deadline"] = 0.into()), "Lanes.1.Deadline is not above 0"),
+        (changed(&|of| drop(of["Lanes"][1].as_object_mut().unwrap().remove("Deadline"))), "Lanes.1.Deadline"),
+        (changed(&|of| of["Limits"]["SendCap"] = 0.into()), "SendCap is not above 0"),
+    ];
+    let mut client = Client::connect(&pooler);
+    for (text, place) in &broken {
+        pooler.configure(text);
+        pooler.signal("HUP");
+        let line = pooler.logged("configuration kept as it was: ");
+        assert!(line.contains(place), "{line}");
+    }
+    let note = menu("2").replace("bundle-menu", "note");
+    assert_eq!(client.ask(&note).tags, "EZ", "nothing has changed");
+    pooler.configure(&whole);
+    pooler.signal("HUP");
+    pooler.logged("configuration read again");
+    assert_eq!(client.ask(&menu("3")).tags, "EZ", "dropped");
+    drop(open);
+    assert_eq!(busy.answer().value.as_deref(), Some(&b"s-1"[..]), "the open request went on");
+    assert_eq!(client.ask(&note).value.as_deref(), Some(&b"s-1"[..]));
+}
+
 #[test]
 fn a_full_house_lets_the_idle_go_first_and_says_so_to_who_is_over() {
     let (open, server) = held("s-1");
--- /dev/null
+++ b/crates/net/src/classes.rs
@@ -0,0 +1,42 @@
+//! The classes as a client's side needs them: by name those of the present settings, by number those of all.
+
+use linnetdeal_core::{Class, ClassId, Effect, Need};
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
+
+/// All classes.
+#[derive(Debug, Default)]
+pub struct Classes {
+    all: RefCell<Vec<(String, Need, Effect)>>,
+    present: RefCell<Vec<ClassId>>,
+    longest_deadline: Cell<Duration>,
+}
+
+impl Classes {
+    /// Those of one version of the settings take the place of the ones before.
+    pub fn set(&self, all: &[Class], present: Vec<ClassId>, longest_deadline: Duration) {
+        let plain = all.iter().map(|class| (class.name.clone(), class.need, class.effect));
+        *self.all.borrow_mut() = plain.collect();
+        *self.present.borrow_mut() = present;
+        self.longest_deadline.set(longest_deadline);
+    }
+
+    /// The class that is called so now.
+    #[must_use]
+    pub fn named(&self, name: &str) -> Option<ClassId> {
+        let all = self.all.borrow();
+        self.present.borrow().iter().copied().find(|id| all.get(id.0).is_some_and(|(own, ..)| own == name))
+    }
+
+    /// Name, need and effect of one, be it of an earlier version.
+    #[must_use]
+    pub fn get(&self, id: ClassId) -> Option<(String, Need, Effect)> {
+        self.all.borrow().get(id.0).cloned()
+    }
+
+    /// The longest deadline of any present class.
+    #[must_use]
+    pub fn longest_deadline(&self) -> Duration {
+        self.longest_deadline.get()
+    }
+}
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -1,6 +1,7 @@
 //! The driver: it owns the module, feeds it what happens, and hands each action to whom it concerns: the
 //! request that is waiting for it, the prober, or the wake timer. It decides nothing.
 
+use super::classes::Classes;
 use super::clock::Clock;
 use super::counters::Counters;
 use async_channel::{Receiver, Sender};
@@ -118,6 +119,17 @@
         }
     }
 
+    /// Goes by these settings from now on, and gives all classes with the numbers of the present ones; false, with nothing
+    /// changed, if there are too many by now.
+    pub fn retune(&self, mut settings: Settings, classes: &Classes, longest_deadline: Duration) -> bool {
+        let merged = linnetdeal_core::retune::merge(self.router.borrow().classes(), &settings.classes);
+        let Some((all, present)) = merged else { return false };
+        classes.set(&all, present, longest_deadline);
+        settings.classes = all;
+        self.router.borrow_mut().retune(settings);
+        true
+    }
+
     /// Opens a mailbox under a new id, and tells the module of the request that `event` makes with it.
     pub fn take(self: &Rc<Self>, event: impl FnOnce(RequestId, Time) -> Request) -> Ticket {
         let id = RequestId(self.last.get() + 1);
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -6,6 +6,7 @@
 use super::request::{Asked, Cut, Final, serve};
 use super::seats::{Rank, Seat, Seats};
 use super::upstream::{Pool, Reply, Statement};
+use crate::classes::Classes;
 use crate::counters::Counters;
 use crate::doubts::Doubts;
 use crate::driver::Driver;
@@ -93,12 +94,10 @@
     pub(crate) life: Rc<Life>,
     /// The seats of the connections.
     pub(crate) seats: Rc<Seats>,
-    /// The classes by name.
-    pub(crate) classes: Vec<(String, Need, Effect)>,
+    /// The classes.
+    pub(crate) classes: Rc<Classes>,
     /// Writes whose outcome nobody knows.
     pub(crate) doubts: Rc<Doubts>,
-    /// The longest deadline of any class.
-    pub(crate) longest_deadline: Duration,
     /// The clients' ids of the requests that are open: at most one a connection.
     pub(crate) open_ids: RefCell<HashSet<Box<str>>>,
     /// Where bytes are read to that nobody wants.
@@ -389,7 +388,8 @@
                         let open = OpenId::enter(self.door, comment.id);
                         if let (Some(asked), Some(open)) = (asked, open) {
                             let wait = comment.wait_at.clone();
-                            let once = self.door.classes[asked.class.0].2 == Effect::Unsafe;
+                            let effect = self.door.classes.get(asked.class).map(|(.., effect)| effect);
+                            let once = effect != Some(Effect::Safe) && effect != Some(Effect::Keyed);
                             let (bytes, at) = self.buffer.detach(size);
                             let whole = at.start + 5..at.end;
                             let wait = wait.start + whole.start..wait.end + whole.start;
@@ -440,9 +440,10 @@
             Cut::ProcessEnds
         };
         let answer = serve(&door.driver, &*door.pool, &asked, or(left, ending)).await;
-        let (class, need, _) = &door.classes[asked.class.0];
-        if let (Final::Failed { at: Some(at) }, Need::Write) = (&answer, need) {
-            door.doubts.add(id, class, Some(at.clone()), door.driver.clock.now());
+        if let (Final::Failed { at: Some(at) }, Some((class, Need::Write, _))) =
+            (&answer, door.classes.get(asked.class))
+        {
+            door.doubts.add(id, &class, Some(at.clone()), door.driver.clock.now());
         }
         self.buffer.give_back(asked.query.bytes);
         self.answer(answer, out).await
@@ -555,16 +556,16 @@
 impl Door {
     /// The request that a statement makes; `None` if its class is unknown.
     fn asked(&self, statement: &str, comment: &pg::Comment<'_>) -> Option<Asked<()>> {
-        let at = self.classes.iter().position(|(name, ..)| name == comment.class)?;
-        let longest = Span(i64::try_from(self.longest_deadline.as_micros()).unwrap_or(i64::MAX));
-        let keyed = matches!(self.classes[at].1, Need::Write | Need::Session);
+        let class = self.classes.named(comment.class)?;
+        let longest = Span(i64::try_from(self.classes.longest_deadline().as_micros()).unwrap_or(i64::MAX));
+        let keyed = matches!(self.classes.get(class)?.1, Need::Write | Need::Session);
         let session = pg::key(statement).filter(|_| keyed).map(|key| {
             let mut hasher = DefaultHasher::new();
             key.hash(&mut hasher);
             SessionKey(hasher.finish())
         });
         Some(Asked {
-            class: ClassId(at),
+            class,
             session,
             group: GroupId(comment.cluster),
             deadline: self.driver.clock.now() + Span((comment.wait_ms * 1_000.0) as i64).min(longest),
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod alarms;
 pub mod buffer;
+pub mod classes;
 pub mod clock;
 pub mod config;
 mod connection;
@@ -86,18 +87,14 @@
         let members = Rc::new(Members::default());
         let executor = Rc::new(LocalExecutor::new());
         let (probes, wanted) = async_channel::unbounded();
-        let classes = config
-            .settings
-            .classes
-            .iter()
-            .map(|class| (class.name.clone(), class.need, class.effect))
-            .collect();
+        let classes = Rc::new(classes::Classes::default());
+        let present = (0..config.settings.classes.len()).map(linnetdeal_core::ClassId).collect();
+        classes.set(&config.settings.classes, present, config.host.longest_deadline);
         tracing::debug!(target: "settings", "{:?}", config.settings);
         let backoff = Backoff::new(config.seed, config.settings.fleet);
         let router = Router::new(config.seed, config.settings);
         let (tells, told) = async_channel::bounded(peers::MOST_WAITING);
         let driver = Rc::new(Driver::new(router, counters.clone(), probes, tells));
-        let longest_deadline = config.host.longest_deadline;
         let handed = std::env::var("GW_LISTEN_FD").ok();
         let sockets = config.sockets;
         // Of the descriptors some are kept for the process itself and for clients that are told to go away.
@@ -134,7 +131,8 @@
             source: source.clone(),
             config_file,
             shared: shared.clone(),
-            longest_deadline,
+            classes: classes.clone(),
+            driver: driver.clone(),
         };
         let door = frontend::Door {
             executor: executor.clone(),
@@ -145,7 +143,6 @@
             seats,
             classes,
             doubts,
-            longest_deadline,
             open_ids: RefCell::default(),
             scratch: RefCell::new(vec![0; SCRATCH]),
         };
--- a/crates/net/src/signals.rs
+++ b/crates/net/src/signals.rs
@@ -1,8 +1,10 @@
 //! Signals: SIGTERM or SIGINT drains the pooler, SIGHUP reads the configuration again, SIGUSR1 prints the counters.
 
+use crate::classes::Classes;
 use crate::config::{Config, duration, span_of};
 use crate::counters::Shown;
 use crate::discovery::Source;
+use crate::driver::Driver;
 use crate::life::Life;
 use crate::seats::Seats;
 use crate::succession::Shared;
@@ -34,8 +36,10 @@
     pub(crate) config_file: PathBuf,
     /// What is shared with a process that takes this one's place.
     pub(crate) shared: Option<Rc<Shared>>,
-    /// The longest deadline of any class.
-    pub(crate) longest_deadline: Duration,
+    /// The classes, by the present settings.
+    pub(crate) classes: Rc<Classes>,
+    /// The module.
+    pub(crate) driver: Rc<Driver>,
 }
 
 /// Handles signals until the pooler has drained.
@@ -64,12 +68,19 @@
     Ok(())
 }
 
-/// Reads the configuration again and follows discovery where it says. All else in it holds from the next start;
-/// the list that is held, the connections and the open requests stay as they are. A file that can't be used
-/// changes nothing.
+/// Reads the configuration again, goes by its settings in one step and follows discovery where it says. Addresses, limits and
+/// what the host of the module is told hold from the next start; the list that is held, the connections and the open requests
+/// stay as they are. A file that can't be used changes nothing.
 fn reload(handler: &Handler) {
     match Config::load(&handler.config_file) {
         Ok(config) => {
+            let (settings, longest) = (config.settings, config.host.longest_deadline);
+            if !handler.driver.retune(settings, &handler.classes, longest) {
+                tracing::warn!(
+                    "configuration kept as it was: more classes than can be held beside the earlier ones"
+                );
+                return;
+            }
             handler.shown.counters.reloads.add();
             tracing::info!("configuration read again, discovery at {:?}", config.discovery);
             handler.source.follow(config.discovery);
@@ -83,7 +94,7 @@
     let started = Instant::now();
     let life = &handler.life;
     let taken = handler.shared.as_ref().is_some_and(|shared| shared.place_taken());
-    let plan = Leaving::plan(span_of(handler.longest_deadline), taken);
+    let plan = Leaving::plan(span_of(handler.classes.longest_deadline()), taken);
     life.draining.raise();
     let clients = handler.seats.taken();
     tracing::info!(
