Answers of up to 4 MiB go to the client in pieces as they come

Change: a long row is known from its 11 bytes of head; the rest is pumped with back pressure and at most 64 KiB a connection.

--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -384,6 +384,56 @@
     assert_eq!(server.got().len(), 2 * count + 1);
 }
 
+#[test]
+fn a_large_value_is_passed_on_as_it_comes_and_one_that_breaks_off_is_visibly_not_whole() {
+    // The head comes in pieces cut at every byte; the first bytes have reached the client before the server goes on.
+    const SIZE: usize = 4 * 1024 * 1024;
+    let (go, gone_on) = channel::<bool>();
+    let gone_on = Mutex::new(gone_on);
+    let server = Server::new("s-1", move |wire, statement| {
+        if !statement.contains("c=bundle-menu") || statement.contains("id=small") {
+            wire.row(b"small", "replica", NOW_MS);
+            return true;
+        }
+        let column: &[u8] = b"T\0\0\0\x20\0\x01content\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01";
+        let size = u32::try_from(SIZE).unwrap();
+        let head =
+            [column, b"D", &(size + 10).to_be_bytes(), b"\0\x01", &size.to_be_bytes(), b"first"].concat();
+        for byte in head {
+            wire.put(&[byte]);
+        }
+        let whole = gone_on.lock().unwrap().recv().unwrap();
+        let rest = vec![0x5A; if whole { SIZE - 5 } else { SIZE / 2 }];
+        wire.put(&rest);
+        if whole {
+            wire.put(b"C\0\0\0\x0dSELECT 1\0S\0\0\0\x11part\0replica\0Z\0\0\0\x05I");
+        }
+        whole
+    });
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    for (id, whole) in [("1", true), ("2", true), ("3", false)] {
+        let mut client = Client::connect(&pooler);
+        client.send(&menu(id));
+        let mut first = [0; 49];
+        client.0.stream.read_exact(&mut first).unwrap();
+        assert!(first.ends_with(b"first"), "{first:?}");
+        // What is small does not wait behind it.
+        assert_eq!(Client::connect(&pooler).ask(&menu("small")).value.as_deref(), Some(&b"small"[..]));
+        go.send(whole).unwrap();
+        let mut rest = vec![0; if whole { SIZE - 5 } else { SIZE / 2 }];
+        client.0.stream.read_exact(&mut rest).unwrap();
+        assert!(rest.iter().all(|byte| *byte == 0x5A));
+        if whole {
+            assert_eq!(client.answer().tags, "CZ");
+            assert_eq!(client.ask(&menu("small")).value.as_deref(), Some(&b"small"[..]));
+        } else {
+            assert!(client.0.message().is_none(), "an end in the middle of the row, and nothing behind it");
+        }
+    }
+    assert!(server.got().iter().filter(|of| !of.contains("id=small")).count() == 3, "none is begun again");
+}
+
 #[test]
 fn a_dropped_watch_is_taken_up_again_where_it_ended() {
     let server = plain("s-9", "replica");
--- a/crates/net/src/buffer.rs
+++ b/crates/net/src/buffer.rs
@@ -94,6 +94,24 @@
         }
     }
 
+    /// Makes room for so many bytes where there is nothing.
+    pub fn grow(&mut self, size: usize) {
+        if self.from == self.to && self.bytes.len() < size {
+            self.bytes.resize(size, 0);
+        }
+    }
+
+    /// Takes out what is there, up to `most` bytes of it, and leaves the buffer's memory for what comes.
+    pub fn piece(&mut self, most: usize) -> &[u8] {
+        let end = self.to.min(self.from + most);
+        let piece = self.from..end;
+        self.from = end;
+        if self.from == self.to {
+            (self.from, self.to) = (0, 0);
+        }
+        &self.bytes[piece]
+    }
+
     /// Lets go of a large buffer while there is nothing in it.
     pub fn rest(&mut self) {
         if self.from == self.to && self.bytes.len() > KEPT {
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -452,6 +452,17 @@
     async fn answer(&self, answer: Final<Reply>, out: &mut Vec<u8>) -> Result<bool, ClientError> {
         match answer {
             Final::Gone => Ok(false),
+            Final::Served(mut reply) if reply.is_large() => {
+                let begun: Vec<&[u8]> = reply.pieces().collect();
+                self.send(&begun).await?;
+                // What can't be finished ends with the connection: the client sees that it is not whole.
+                while let Some(piece) = self.door.pool.more(&mut reply).await? {
+                    self.send(&[&piece]).await?;
+                    yield_now().await;
+                }
+                write::ready(out);
+                self.finish(&[out]).await
+            }
             Final::Served(reply) => {
                 write::ready(out);
                 let pieces: Vec<&[u8]> = reply.pieces().chain([out.as_slice()]).collect();
--- a/crates/net/src/pg/backend.rs
+++ b/crates/net/src/pg/backend.rs
@@ -1,6 +1,6 @@
 //! What a server sends.
 
-use super::{LONGEST_VALUE, Message, PgError, bounded, text};
+use super::{LONGEST_STREAMED, LONGEST_VALUE, Message, PgError, bounded, text};
 use linnetdeal_core::{Field, Note, Role, Time};
 
 /// No position of a log is a Unix time in seconds beyond this.
@@ -47,6 +47,13 @@
 /// When it is of no kind that a server sends here, or its length is not one that its kind has.
 pub fn server_message(data: &[u8]) -> Result<Option<Message<'_>>, PgError> {
     let Some(&tag) = data.first() else { return Ok(None) };
+    let long = |length: usize| (LONGEST_VALUE + 11..=LONGEST_STREAMED + 10).contains(&length);
+    let length =
+        data.get(1..5).and_then(|word| word.first_chunk()).map(|word| u32::from_be_bytes(*word) as usize);
+    // Whether it is a row that is passed on in pieces shows in its whole head, which may come in pieces itself.
+    if tag == b'D' && data.len() < 11 && length.is_some_and(long) {
+        return Ok(None);
+    }
     let most = match tag {
         b'D' => LONGEST_VALUE + 10,
         b'E' | b'N' | b'A' => 8 * 1024,
@@ -59,6 +66,16 @@
     bounded(data, most)
 }
 
+/// The size of the message at the front of `data`, if it is a row of one value that is too long to be held: it is known from
+/// its head. A length that no such row has is left for [`server_message`] to refuse.
+#[must_use]
+pub fn large_row(data: &[u8]) -> Option<usize> {
+    let (&[b'D', a, b, c, d, 0, 1, e, f, g, h], _) = data.split_first_chunk::<11>()? else { return None };
+    let [length, value] = [[a, b, c, d], [e, f, g, h]].map(|word| u32::from_be_bytes(word) as usize);
+    let large = (LONGEST_VALUE + 1..=LONGEST_STREAMED).contains(&value) && length == value + 10;
+    large.then_some(1 + length)
+}
+
 /// One answer, taken message by message: RowDescription of one column, one DataRow, CommandComplete; or an
 /// ErrorResponse. ReadyForQuery ends it. Anything else spoils it, and nothing that it told counts.
 #[derive(Clone, Debug, Default)]
@@ -125,6 +142,19 @@
         Ok(part)
     }
 
+    /// Whether a row comes next.
+    #[must_use]
+    pub fn described(&self) -> bool {
+        self.stage == Stage::Described
+    }
+
+    /// The row has been passed on by other means.
+    pub fn skip_row(&mut self) {
+        if self.described() {
+            self.stage = Stage::Row;
+        }
+    }
+
     /// Whether the value, or the error, is all there.
     #[must_use]
     pub fn whole(&self) -> bool {
--- a/crates/net/src/pg/mod.rs
+++ b/crates/net/src/pg/mod.rs
@@ -7,13 +7,16 @@
 pub mod write;
 
 pub use backend::{
-    Answer, Code, ErrorFields, Notes, Part, error_fields, parameter, ready, report, row_value, server_message,
+    Answer, Code, ErrorFields, Notes, Part, error_fields, large_row, parameter, ready, report, row_value,
+    server_message,
 };
 pub use comment::{Asks, Comment, key, request};
 pub use frontend::{Startup, query_text, startup};
 
 /// The longest value.
 pub const LONGEST_VALUE: usize = 64 * 1024;
+/// The longest value that is passed on in pieces as it comes, never held whole.
+pub const LONGEST_STREAMED: usize = 4 * 1024 * 1024;
 /// The longest message taken from a client: a value doubles as hex digits in a statement.
 pub const LONGEST: usize = 2 * LONGEST_VALUE + 4 * 1024;
 /// The longest startup message, as PostgreSQL has it.
--- a/crates/net/src/upstream.rs
+++ b/crates/net/src/upstream.rs
@@ -31,6 +31,10 @@
 /// How long what waits for room looks away, should nobody tell it.
 const SHORT_PAUSE: Duration = Duration::from_millis(20);
 
+/// So many bytes of a large answer are read at a time, and no more are held for each.
+const PIECE: usize = 32 * 1024;
+/// A large answer that brings nothing for so long has ended.
+const SILENT: Duration = Duration::from_secs(10);
 /// More than this no answer takes up, notices and all.
 const LONGEST_ANSWER: usize = 2 * pg::LONGEST_VALUE;
 /// What a server sends too much comes just behind an answer, and must not be taken for the next: a connection
@@ -59,9 +63,29 @@
 pub struct Reply {
     bytes: Vec<u8>,
     pieces: Vec<Range<usize>>,
+    /// What is still to come of a large one, on the connection that brings it.
+    rest: Option<Rest>,
+}
+
+/// A row that has begun, and all that follows it.
+#[derive(Debug)]
+struct Rest {
+    member: MemberId,
+    connection: Connection,
+    answer: pg::Answer,
+    /// Bytes of the row that are not read yet, or not taken out of the buffer.
+    left: usize,
+    /// ReadyForQuery has come.
+    over: bool,
 }
 
 impl Reply {
+    /// Whether more of it is to come.
+    #[must_use]
+    pub fn is_large(&self) -> bool {
+        self.rest.is_some()
+    }
+
     /// The messages of the answer, from RowDescription to CommandComplete.
     pub fn pieces(&self) -> impl Iterator<Item = &[u8]> {
         self.pieces.iter().map(|piece| &self.bytes[piece.clone()])
@@ -100,6 +124,8 @@
     notes: Notes,
     /// The answer's messages in the buffer.
     pieces: Vec<Range<usize>>,
+    /// The answer and what of its row is to come, if that is too long to be held; the buffer ends within it.
+    large: Option<(pg::Answer, usize)>,
     /// The row's value in the buffer.
     value: Option<Range<usize>>,
     /// The bytes of the exchange in the buffer.
@@ -391,6 +417,69 @@
     }
 }
 
+impl Pool {
+    /// The next piece of a large answer, its last messages included; `None` once all of it is out. The server is read no
+    /// faster than pieces are taken.
+    ///
+    /// # Errors
+    ///
+    /// When it ends too soon, is spoilt or falls silent: what was passed on is not whole.
+    pub async fn more(&self, reply: &mut Reply) -> io::Result<Option<Vec<u8>>> {
+        let cut = || io::Error::from(io::ErrorKind::UnexpectedEof);
+        let Some(rest) = reply.rest.as_mut() else { return Ok(None) };
+        let work = async {
+            loop {
+                let buffer = &mut rest.connection.buffer;
+                if rest.left > 0 && !buffer.data().is_empty() {
+                    let piece = buffer.piece(rest.left).to_vec();
+                    rest.left -= piece.len();
+                    return Ok(Some(piece));
+                }
+                if rest.left == 0 {
+                    rest.answer.skip_row();
+                    let mut tail = Vec::new();
+                    while !rest.over {
+                        let Some(message) = pg::server_message(buffer.data()).map_err(|_| cut())? else {
+                            break;
+                        };
+                        let size = message.size;
+                        let part = rest.answer.take(&message).map_err(|_| cut())?;
+                        if matches!(part, Part::Value(_)) {
+                            tail.extend_from_slice(&buffer.data()[..size]);
+                        }
+                        buffer.consume(size);
+                        if part == Part::Ready {
+                            rest.over = true;
+                            break;
+                        }
+                    }
+                    if !tail.is_empty() {
+                        return Ok(Some(tail));
+                    }
+                    if rest.over {
+                        return Ok(None);
+                    }
+                }
+                buffer.grow(PIECE);
+                if buffer.fill(&rest.connection.stream).await? == 0 {
+                    return if rest.answer.whole() { Ok(None) } else { Err(cut()) };
+                }
+            }
+        };
+        let silent = async {
+            Timer::after(SILENT).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        let piece = or(work, silent).await;
+        if matches!(piece, Ok(None)) {
+            if let Some(Rest { member, connection, .. }) = reply.rest.take() {
+                self.put_back(&member, connection);
+            }
+        }
+        piece
+    }
+}
+
 impl Carrier for Pool {
     type Query = Statement;
     type Reply = Reply;
@@ -403,16 +492,18 @@
         match self.within(wait, member, &[&head, before, digits.as_bytes(), after], query.once).await {
             Err(verdict) => Ended::without_answer(verdict),
             Ok((mut connection, exchange)) => {
-                let Exchange { verdict, notes, pieces, size, ready, .. } = exchange;
-                let reply = (verdict == Verdict::Ok).then(|| {
+                let Exchange { verdict, notes, pieces, large, size, ready, .. } = exchange;
+                let mut reply = (verdict == Verdict::Ok).then(|| {
                     let (bytes, at) = connection.buffer.detach(size);
                     let moved = |piece: Range<usize>| piece.start + at.start..piece.end + at.start;
-                    Reply { bytes, pieces: pieces.into_iter().map(moved).collect() }
+                    Reply { bytes, pieces: pieces.into_iter().map(moved).collect(), rest: None }
                 });
                 if reply.is_none() {
                     connection.buffer.consume(size);
                 }
-                if ready {
+                if let Some((reply, (answer, left))) = reply.as_mut().zip(large) {
+                    reply.rest = Some(Rest { member: member.clone(), connection, answer, left, over: false });
+                } else if ready {
                     self.put_back(member, connection);
                 }
                 Ended { verdict, note: notes.note(), report: notes.report(&self.host.report), reply }
@@ -437,7 +528,15 @@
     let mut pieces: Vec<Range<usize>> = Vec::new();
     let (mut value, mut at, mut ready) = (None, 0, false);
     'reading: loop {
-        while let Some(message) = pg::server_message(&buffer.data()[at..])? {
+        loop {
+            if let Some(row) = pg::large_row(&buffer.data()[at..]).filter(|_| answer.described()) {
+                let (end, all) = (at + row, buffer.data().len());
+                pieces.push(at..all.min(end));
+                let (large, size) = (Some((answer, end.saturating_sub(all))), all.min(end));
+                let notes = Notes::default();
+                return Ok(Exchange { verdict: Verdict::Ok, notes, pieces, large, value, size, ready });
+            }
+            let Some(message) = pg::server_message(&buffer.data()[at..])? else { break };
             let piece = at..at + message.size;
             at = piece.end;
             match answer.take(&message)? {
@@ -469,5 +568,5 @@
         }
     }
     let verdict = answer.failed().map_or(Verdict::Ok, verdict);
-    Ok(Exchange { verdict, notes: answer.into_notes(), pieces, value, size: at, ready })
+    Ok(Exchange { verdict, notes: answer.into_notes(), pieces, large: None, value, size: at, ready })
 }
