--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -303,8 +303,8 @@
         let waited = jam || now > open.arrived;
         // One never sent keeps its client from trying elsewhere: it is told while half its time is left.
         let old = open.attempts.is_empty() && now - open.arrived > (open.deadline - open.arrived).times(HELD);
-        // A write is held out while there is no primary. At one that is crowded it would go out too late to be
-        // answered, with those behind it as late: that primary was never seen to recover.
+        // A write is held while there is no primary. At a crowded one it would go out too late to be
+        // answered, with those behind it as late.
         let change = self.change(open);
         let held = class.need == Need::Write && change.is_none_or(|change| change.phase() != Phase::Settled);
         let hopeless = !held && waited && (old || now + takes >= last);
