The look at who is out by hand reads a bounded number of files

Seen in reading the change again: Shared::look() held every name in the folder, however many (net/succession.rs).

--- a/crates/net/src/succession.rs
+++ b/crates/net/src/succession.rs
@@ -3,6 +3,7 @@
 
 use async_io::Timer;
 use linnetdeal_core::MemberId;
+use linnetdeal_core::membership::MOST_BANS;
 use linnetdeal_core::succession::{Bans, Changes};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -19,6 +20,8 @@
 const LOOK: Duration = Duration::from_millis(50);
 /// A folder that changed less long ago may have changed once more within one tick of the file system's clock.
 const SETTLED: Duration = Duration::from_secs(1);
+/// More files than there may be bans, with room for strange ones, are not all read.
+const MOST_FILES: usize = MOST_BANS + 100;
 /// An id that is longer, in bytes, has no name of a file.
 pub const LONGEST_ID: usize = 120;
 
@@ -87,7 +90,7 @@
     ///
     /// # Errors
     ///
-    /// When the folder can't be read; who is out stays out.
+    /// When the folder can't be read, or holds more than this program puts there; who is out stays out.
     pub fn look(&self) -> io::Result<(Changes, usize)> {
         let folder = self.folder.join(OUT);
         let modified = std::fs::metadata(&folder)?.modified()?;
@@ -97,6 +100,12 @@
         }
         let (mut found, mut strange) = (BTreeSet::new(), 0);
         for entry in std::fs::read_dir(folder)? {
+            if found.len() + strange >= MOST_FILES {
+                return Err(io::Error::new(
+                    io::ErrorKind::InvalidData,
+                    "too many files among those of the servers out",
+                ));
+            }
             match entry?.file_name().to_str().and_then(id) {
                 Some(id) => drop(found.insert(id)),
                 None => strange += 1,
--- a/crates/net/tests/parsers.rs
+++ b/crates/net/tests/parsers.rs
@@ -117,6 +117,10 @@
         std::fs::write(folder.join("linnetdeal.out").join(strange), "x").unwrap();
     }
     assert_eq!(older.look().unwrap(), (Changes::default(), 4));
+    // More than can be bans are not all held, and bring nobody back either.
+    (0..10_200)
+        .for_each(|at| std::fs::write(folder.join("linnetdeal.out").join(format!("z{at}")), "").unwrap());
+    assert!(older.look().is_err());
     std::fs::remove_dir_all(&folder).unwrap();
     assert!(older.look().is_err() && older.put(&ids[0], true).is_err() && !older.place_taken());
 }
