--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 
 /// A moment on the host's clock, in microseconds. Only differences matter; it never runs backwards.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Time(pub i64);
 
 /// A length of time in microseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Span(pub i64);
 
 impl Span {
