Leases on the poolers' datagrams, and many processes with faults between them

Need: the pure leases serve nobody yet, and nothing could break what lies between processes. Change: net/leases.rs hosts the node on the peers' socket, checks a holder's token before each act on CLOCK_BOOTTIME, and gives tasks back when it drains; the operator's file has 'leases'; the second address shows, releases, hands over. lab/processes starts fleets of the program with a relay for each pair; lab/leases has scripts, a gate and an audit. Answers name the life that asked: rounds begin anew in each life, so a late answer to an earlier one, or to a second process of the same name, would have counted (new test).

--- a/crates/coordination/src/lease/message.rs
+++ b/crates/coordination/src/lease/message.rs
@@ -107,6 +107,8 @@
         task: TaskId,
         /// The round.
         round: u32,
+        /// The life that asked: rounds begin anew in each, and two processes of one name hear each other's answers.
+        life: u64,
         /// The answer.
         answer: Answer,
     },
@@ -203,10 +205,11 @@
             out.extend(token.0.to_be_bytes());
             out.extend(ms(*term).to_be_bytes());
         }
-        Body::Answer { task, round, answer } => {
+        Body::Answer { task, round, life, answer } => {
             out.push(3);
             out.extend(task.0.to_be_bytes());
             out.extend(round.to_be_bytes());
+            out.extend(life.to_be_bytes());
             out.push(u8::from(answer.yes));
             out.extend(answer.floor.0.to_be_bytes());
             put_holder(&mut out, answer.holder);
@@ -332,9 +335,9 @@
                 term: self.span()?,
             },
             3 => {
-                let (task, round) = (self.task()?, self.word()?);
+                let (task, round, life) = (self.task()?, self.word()?, self.long()?);
                 let (yes, floor, holder) = (self.flag()?, self.token()?, self.holder()?);
-                Body::Answer { task, round, answer: Answer { yes, floor, holder } }
+                Body::Answer { task, round, life, answer: Answer { yes, floor, holder } }
             }
             4 => {
                 let (task, token, number, term) = (self.task()?, self.token()?, self.short()?, self.span()?);
--- a/crates/coordination/src/lease/node.rs
+++ b/crates/coordination/src/lease/node.rs
@@ -484,7 +484,7 @@
                 let Some(voter) = &mut self.voter else { return };
                 voter.hear(now, task, known);
                 if let Some(answer) = voter.ask(now, task, sender) {
-                    self.post(sender.number, Body::Answer { task, round, answer });
+                    self.post(sender.number, Body::Answer { task, round, life: sender.life, answer });
                 }
             }
             Body::Claim { task, round, token, term } => {
@@ -494,7 +494,7 @@
                     return;
                 }
                 if let Some(answer) = voter.claim(now, task, sender, token, term, round) {
-                    self.post(sender.number, Body::Answer { task, round, answer });
+                    self.post(sender.number, Body::Answer { task, round, life: sender.life, answer });
                 }
             }
             Body::Release { task, token, heir } => {
@@ -503,7 +503,11 @@
                     voter.release(now, task, sender, token, heir);
                 }
             }
-            Body::Answer { task, round, answer } => self.answered(now, sender.number, task, round, answer),
+            // What was granted to an earlier life of this pooler, or to another process of its name, is not this one's.
+            Body::Answer { life, .. } if life != self.me.life => {}
+            Body::Answer { task, round, answer, .. } => {
+                self.answered(now, sender.number, task, round, answer)
+            }
             Body::Look { round, after } => {
                 let Some(voter) = self.voter.as_ref().filter(|voter| !voter.is_silent(now)) else { return };
                 let mut tasks: Vec<Seen> = voter.running(now, after).take(Body::MOST_SEEN + 1).collect();
--- a/crates/coordination/tests/lease.rs
+++ b/crates/coordination/tests/lease.rs
@@ -196,6 +196,35 @@
     assert!(flood > 700, "{flood}");
 }
 
+#[test]
+fn a_grant_to_an_earlier_life_is_not_this_ones() {
+    let key = key("a key of an installation");
+    let mut node = Node::<Sound>::new(at(0), setup(9, true));
+    let site = open(&first_letter(&mut node, 1, at(60_000)), std::slice::from_ref(&key)).unwrap().site;
+    let task = TaskId::of("sweep");
+    // The answers to rounds that this life has out, as two voters would give them to the one before it.
+    for (life, held) in [(who(9).life + 1, false), (who(9).life, true)] {
+        let mut number = life * 1_000;
+        for round in 0..200 {
+            for voter in [1, 2] {
+                number += 1;
+                let answer = Answer { yes: true, floor: Token(4), holder: None };
+                let bodies = [
+                    Body::Seen { round, more: false, tasks: Vec::new() },
+                    Body::Answer { task, round, life, answer },
+                ];
+                for body in bodies {
+                    number += 1;
+                    let letter = Letter { site, version: 3, sender: who(voter), number, body };
+                    let now = at(61_000 + i64::from(round) * 5);
+                    let _ = node.take(now, voter, &seal(&letter, &key));
+                }
+            }
+        }
+        assert_eq!(node.take_notes().iter().any(|note| matches!(note, Note::Gained(..))), held);
+    }
+}
+
 #[test]
 fn who_is_alone_asks_less_and_less_often() {
     let mut node = Node::<Sound>::new(at(0), setup(9, true));
@@ -217,7 +246,7 @@
         let body = match kind {
             0 => Body::Ask { task, round, known: token },
             1 => Body::Claim { task, round, token, term: left },
-            2 => Body::Answer { task, round, answer: Answer { yes: some, floor: token, holder: some.then_some(holder) } },
+            2 => Body::Answer { task, round, life, answer: Answer { yes: some, floor: token, holder: some.then_some(holder) } },
             3 => Body::Release { task, token, heir: some.then_some((number, left)) },
             4 => Body::Look { round, after: Some(task) },
             5 => Body::Seen { round, more: some, tasks: vec![(task, holder); count.min(Body::MOST_SEEN)] },
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,6 @@
 //! The pooler on real sockets, and what its operators ask of it.
 
+mod leases;
 mod logging;
 mod members;
 mod registry;
@@ -115,7 +116,11 @@
         [operator.primary.planned, operator.primary.unplanned].map(|of| of.map(expected));
     logging::start(&operator.log);
     let (name, seed) = (config.name.clone(), config.seed);
-    let pooler = Pooler::new(config, path).map_err(End::other)?;
+    let leases = match &operator.leases {
+        Some(settings) => Some(leases::wanted(settings, &config).map_err(End::config)?),
+        None => None,
+    };
+    let pooler = Pooler::new(config, path, leases).map_err(End::other)?;
     match &operator.registry {
         None => pooler.run(std::future::ready(())),
         Some(settings) => {
@@ -143,10 +148,12 @@
     if let Some(path) = &file {
         match Operator::load(path) {
             Err(faults) => wrong.push(faults.to_string()),
-            Ok(Operator { registry: Some(settings), .. }) => {
-                wrong.extend(registry::check(&settings).err().map(|error| error.to_string()));
+            Ok(operator) => {
+                let registry = operator.registry.and_then(|settings| registry::check(&settings).err());
+                wrong.extend(registry.map(|error| error.to_string()));
+                let keys = operator.leases.and_then(|settings| leases::keys(&settings).err());
+                wrong.extend(keys.map(|error| error.to_string()));
             }
-            Ok(_) => {}
         }
     }
     if let Some(path) = &config {
--- /dev/null
+++ b/crates/lab/src/leases/proof.rs
@@ -0,0 +1,102 @@
+//! All of the proof, and its last line.
+
+use super::play::{Outcome, play};
+use super::script::Script;
+use crate::at_once;
+use crate::processes::process;
+use serde_json::json;
+use std::fmt::Display;
+use std::path::PathBuf;
+
+/// What is to be played.
+pub struct Wanted {
+    /// The folder of the scripts.
+    pub folder: PathBuf,
+    /// Only scripts whose names hold this, and nothing else.
+    pub only: Option<String>,
+    /// How often each.
+    pub times: u64,
+    /// How many at once.
+    pub side_by_side: usize,
+    /// Processes of the large fleet.
+    pub fleet: usize,
+    /// The program.
+    pub program: PathBuf,
+}
+
+/// The value below which this share of them lies.
+fn quantile(of: &mut [f64], share: f64) -> f64 {
+    of.sort_by(f64::total_cmp);
+    let at = (of.len() as f64 * share).ceil() as usize;
+    of.get(at.clamp(1, of.len().max(1)) - 1).copied().unwrap_or(0.0)
+}
+
+fn rounded(of: f64) -> f64 {
+    (of * 100.0).round() / 100.0
+}
+
+/// Plays it all; whether all came out as it must.
+///
+/// # Errors
+///
+/// When scripts can't be read or processes not be started.
+pub fn run(
+    wanted: &Wanted,
+    say: impl Fn(&dyn Display),
+) -> Result<bool, Box<dyn std::error::Error + Send + Sync>> {
+    let mut scripts = Script::folder(&wanted.folder)?;
+    scripts.retain(|script| wanted.only.as_ref().is_none_or(|only| script.name.contains(only)));
+    let plays: Vec<(usize, u64)> =
+        (1..=wanted.times).flat_map(|seed| (0..scripts.len()).map(move |at| (at, seed))).collect();
+    let outcomes = at_once(&plays, wanted.side_by_side, |(at, seed)| {
+        play(&scripts[*at], scripts[*at].seed * 1_000 + seed, &wanted.program)
+    });
+    let (mut whole, mut well, mut takeovers) = (Outcome::default(), true, Vec::new());
+    let (mut unsafe_acts, mut overlapping, mut let_through, mut processes) = (0, 0, 0, 0);
+    for ((at, seed), outcome) in plays.iter().zip(outcomes) {
+        let script = &scripts[*at];
+        let outcome = match outcome {
+            Ok(outcome) => outcome,
+            Err(error) => {
+                well = false;
+                say(&format!("{:<22} {seed:>3} could not be played: {error}", script.name));
+                continue;
+            }
+        };
+        let of = &outcome.verdict;
+        let mut own = outcome.takeovers.clone();
+        let kept = outcome.kept.as_ref().map(|folder| format!("  kept in {}", folder.display()));
+        say(&format!(
+            "{:<22} {seed:>3} acts {:>4}  tokens {:>3}  overlapping {}  old {}  late {}  back {}  takeover p50 {:.2} most {:.2} terms  {}{}",
+            script.name,
+            of.acts,
+            of.tokens,
+            of.overlapping_acts,
+            of.old_tokens_let_through,
+            of.late_acts,
+            of.tokens_went_back,
+            quantile(&mut own, 0.5),
+            quantile(&mut own, 1.0),
+            outcome.missed.join("; "),
+            kept.unwrap_or_default()
+        ));
+        well &= outcome.is_well(script);
+        processes = processes.max(script.poolers);
+        unsafe_acts += if script.late_acts { 0 } else { of.late_acts };
+        overlapping += of.overlapping_acts;
+        let_through += of.old_tokens_let_through;
+        whole.verdict.acts += of.acts;
+        whole.verdict.tokens_went_back += of.tokens_went_back + of.tokens_shared;
+        whole.longest = whole.longest.max(outcome.longest);
+        takeovers.extend(outcome.takeovers);
+    }
+    let (started, ended) = process::count();
+    say(&json!({"processes": processes, "scripts": plays.len(), "acts": whole.verdict.acts,
+        "takeovers": takeovers.len(), "overlapping_acts": overlapping,
+        "acts_with_old_token_let_through": let_through, "late_acts_within_bounds": unsafe_acts,
+        "tokens_went_back": whole.verdict.tokens_went_back,
+        "takeover_p50_terms": rounded(quantile(&mut takeovers, 0.5)),
+        "takeover_p99_terms": rounded(quantile(&mut takeovers, 0.99)),
+        "bytes_max": whole.longest, "started": started, "leaks": started - ended}));
+    Ok(well && started == ended)
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod eureka;
 pub mod experiment;
 pub mod family;
+pub mod leases;
 pub mod ledger;
 pub mod load;
 pub mod model;
@@ -18,6 +19,7 @@
 pub mod plot;
 pub mod pooler;
 pub mod primary;
+pub mod processes;
 pub mod rehearsal;
 pub mod say;
 pub mod script;
@@ -29,3 +31,23 @@
 pub fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
     of.lock().unwrap_or_else(PoisonError::into_inner)
 }
+
+/// Does the work for each of these, so many at once, and gives the results in their order.
+pub fn at_once<T: Sync, R: Send>(of: &[T], most: usize, work: impl Fn(&T) -> R + Sync) -> Vec<R> {
+    let queue = Mutex::new(of.iter().enumerate());
+    let done = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..most.max(1) {
+            scope.spawn(|| {
+                loop {
+                    let Some((at, one)) = lock(&queue).next() else { return };
+                    let result = work(one);
+                    lock(&done).push((at, result));
+                }
+            });
+        }
+    });
+    let mut done = done.into_inner().unwrap_or_default();
+    done.sort_by_key(|(at, _)| *at);
+    done.into_iter().map(|(_, result)| result).collect()
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand};
 use linnetdeal_fleet::scenario::Scenario;
 use linnetdeal_fleet::sim::WRITES;
+use linnetdeal_lab::at_once;
 use linnetdeal_lab::clients::CLASSES;
 use linnetdeal_lab::emulator;
 use linnetdeal_lab::experiment::{self, Experiment, FIGURES};
@@ -16,7 +17,6 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::sync::Mutex;
 use std::time::Duration;
 
 /// Prints a line. Who reads may have left: then there is nobody to print for, and no reason to end otherwise than so.
@@ -72,6 +72,25 @@
         #[arg(long, default_value_t = 1)]
         times: usize,
     },
+    /// Play scripts of leases with processes and faults between them, check the same decisions in the model, and have each
+    /// of their parts taken away once; print what came out.
+    Leases {
+        /// The folder of the scripts.
+        #[arg(long, default_value = "scenarios/leases")]
+        folder: PathBuf,
+        /// Only scripts whose names hold this, and nothing but scripts.
+        #[arg(long)]
+        only: Option<String>,
+        /// How often each script is played, each time with another seed.
+        #[arg(long, default_value_t = 8)]
+        times: u64,
+        /// Scripts that are played at the same time.
+        #[arg(long, default_value_t = 6)]
+        side_by_side: usize,
+        /// Processes of the large fleet.
+        #[arg(long, default_value_t = 300)]
+        fleet: usize,
+    },
     /// Check the decisions through all orders of a change of primary, within bounds.
     Model {
         /// Routers.
@@ -178,6 +197,17 @@
     let done = match Cli::parse().command {
         Command::Eureka { script, only, seed, side_by_side } => eureka(script, &only, seed, side_by_side),
         Command::Primary { only, side_by_side, times } => primary(&only, side_by_side, times),
+        Command::Leases { folder, only, times, side_by_side, fleet } => {
+            let wanted = linnetdeal_lab::leases::proof::Wanted {
+                folder,
+                only,
+                times,
+                side_by_side,
+                fleet,
+                program: program(),
+            };
+            linnetdeal_lab::leases::proof::run(&wanted, |line| say!("{line}"))
+        }
         Command::Model { routers, writes, losses, crashes } => {
             let bounds = Bounds { routers, writes, losses, crashes, drains: true, wrong_reset: false };
             let found = check(bounds, 4);
@@ -228,25 +258,6 @@
 }
 
 /// What becomes of each of these, so many at a time.
-fn side_by_side_of<T: Sync, R: Send>(of: &[T], at_once: usize, work: impl Fn(&T) -> R + Sync) -> Vec<R> {
-    let queue = Mutex::new(of.iter().enumerate());
-    let done = Mutex::new(Vec::new());
-    std::thread::scope(|scope| {
-        for _ in 0..at_once.max(1) {
-            scope.spawn(|| {
-                loop {
-                    let Some((at, one)) = linnetdeal_lab::lock(&queue).next() else { return };
-                    let result = work(one);
-                    linnetdeal_lab::lock(&done).push((at, result));
-                }
-            });
-        }
-    });
-    let mut done = done.into_inner().unwrap_or_default();
-    done.sort_by_key(|(at, _)| *at);
-    done.into_iter().map(|(_, result)| result).collect()
-}
-
 fn fleet(
     path: &Path,
     seed: Option<u64>,
@@ -408,8 +419,8 @@
 
 fn emulator_proof(folder: &Path, small: bool) -> Result<bool, Failure> {
     let scenarios = emulator::library(folder)?;
-    let once = side_by_side_of(&scenarios, 1, emulator::play);
-    let again = side_by_side_of(&scenarios, 4, emulator::play);
+    let once = at_once(&scenarios, 1, emulator::play);
+    let again = at_once(&scenarios, 4, emulator::play);
     let identical = once.iter().zip(&again).all(|(one, other)| one.digest == other.digest);
     let (mut broken, mut missed) = (0, 0);
     for played in &once {
@@ -462,7 +473,7 @@
     let cases: Vec<Case> = cases.iter().copied().filter(|case| case.to_string().contains(only)).collect();
     let cases = cases.repeat(times);
     let program = program();
-    let outcomes = side_by_side_of(&cases, side_by_side, |case| play(*case, &program));
+    let outcomes = at_once(&cases, side_by_side, |case| play(*case, &program));
     let mut sums = [0; 8];
     let (mut between, mut handovers, mut added) = ((0, 0), Vec::new(), Vec::new());
     let (mut planned_errors, mut never) = (0, 0);
@@ -511,7 +522,7 @@
     let share = between.0 as f64 / f64::max(between.1 as f64, 1.0);
     let courses: Vec<Course> =
         Course::ALL.into_iter().filter(|course| format!("{course:?}").contains(only)).collect();
-    let tallies = side_by_side_of(&courses, side_by_side.min(2), |course| changes::play(*course, &program));
+    let tallies = at_once(&courses, side_by_side.min(2), |course| changes::play(*course, &program));
     let (mut more, mut budget, mut hints) = (changes::Tally::default(), 0.0, Vec::new());
     for (course, tally) in courses.iter().zip(tallies) {
         let tally = tally?;
@@ -560,7 +571,7 @@
     };
     scripts.retain(|script| script.name.contains(only));
     let program = program();
-    let outcomes = side_by_side_of(&scripts, side_by_side, |script| play(script, &program, seed));
+    let outcomes = at_once(&scripts, side_by_side, |script| play(script, &program, seed));
     let mut whole = linnetdeal_lab::ledger::Verdict::default();
     let (mut well, mut missed, mut shares) = (true, 0, std::collections::BTreeMap::new());
     for (script, outcome) in scripts.iter().zip(outcomes) {
--- a/crates/lab/src/pooler.rs
+++ b/crates/lab/src/pooler.rs
@@ -1,16 +1,12 @@
 //! The pooler as a process, on files of a folder of its own.
 
+pub use crate::processes::process::PATIENCE;
+
+use crate::processes::process::Process;
 use serde_json::{Value, json};
-use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
-
-/// How long anything may take that is waited for; it only keeps a broken run from hanging.
-pub const PATIENCE: Duration = Duration::from_secs(30);
+use std::ops::{Deref, DerefMut};
+use std::path::Path;
 
 /// The settings that the lab's poolers get: the site's classes, with members that check nothing themselves.
 #[must_use]
@@ -55,11 +51,23 @@
 
 /// A running pooler; killed when dropped.
 pub struct Pooler {
-    child: Child,
+    process: Process,
     /// Where it listens.
     pub address: SocketAddr,
-    log: Arc<Mutex<Vec<String>>>,
-    folder: PathBuf,
+}
+
+impl Deref for Pooler {
+    type Target = Process;
+
+    fn deref(&self) -> &Process {
+        &self.process
+    }
+}
+
+impl DerefMut for Pooler {
+    fn deref_mut(&mut self) -> &mut Process {
+        &mut self.process
+    }
 }
 
 impl Pooler {
@@ -98,102 +106,14 @@
         setup: Setup,
         mut settings: Value,
     ) -> std::io::Result<Self> {
-        static NUMBER: AtomicU32 = AtomicU32::new(0);
-        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
-        let folder = std::env::temp_dir().join(format!("linnetdeal-lab-{}-{number}", std::process::id()));
-        std::fs::create_dir_all(&folder)?;
         settings["FleetSize"] = setup.fleet.into();
         let listen = setup.listen.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
-        let config = json!({"name": format!("lab{number}"), "listen": listen.to_string(), "seed": "8c1f30d27a5be964",
+        let config = json!({"name": "lab", "listen": listen.to_string(), "seed": "8c1f30d27a5be964",
             "discovery": setup.discovery.map(|address| address.to_string()),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": setup.sockets}, "known": known,
             "settings": settings});
-        std::fs::write(folder.join("config.json"), config.to_string())?;
-        let mut command = Command::new(program);
-        command.env("GW_CONFIG", folder.join("config.json")).env_remove("LINNETDEAL_OPERATOR");
-        if let Some(text) = operator {
-            std::fs::write(folder.join("operator.cue"), text)?;
-            command.env("LINNETDEAL_OPERATOR", folder.join("operator.cue"));
-        }
-        let mut child = command.stderr(Stdio::piped()).spawn()?;
-        let lines = child.stderr.take().map(BufReader::new);
-        let log = Arc::new(Mutex::new(Vec::new()));
-        let kept = log.clone();
-        std::thread::spawn(move || {
-            for line in lines.into_iter().flat_map(BufRead::lines).map_while(Result::ok) {
-                crate::lock(&kept).push(line);
-            }
-        });
-        let mut pooler = Self { child, address: SocketAddr::from(([127, 0, 0, 1], 0)), log, folder };
-        let line = pooler.logged(" listening on ")?;
-        let address = line.rsplit(' ').next().and_then(|text| text.parse().ok());
-        pooler.address = address.ok_or_else(|| std::io::Error::other(format!("no address in '{line}'")))?;
-        Ok(pooler)
-    }
-
-    /// Waits for a log line with this in it.
-    ///
-    /// # Errors
-    ///
-    /// When none comes.
-    pub fn logged(&mut self, text: &str) -> std::io::Result<String> {
-        let end = Instant::now() + PATIENCE;
-        while Instant::now() < end {
-            if let Some(line) = crate::lock(&self.log).iter().find(|line| line.contains(text)) {
-                return Ok(line.clone());
-            }
-            if let Some(status) = self.child.try_wait()? {
-                std::thread::sleep(Duration::from_millis(50));
-                let log = crate::lock(&self.log).join("\n");
-                return Err(std::io::Error::other(format!("the pooler ended with {status}:\n{log}")));
-            }
-            std::thread::sleep(Duration::from_millis(2));
-        }
-        Err(std::io::Error::other(format!("no line with '{text}':\n{}", crate::lock(&self.log).join("\n"))))
-    }
-
-    /// All lines so far.
-    #[must_use]
-    pub fn log(&self) -> Vec<String> {
-        crate::lock(&self.log).clone()
-    }
-
-    /// Its process id.
-    #[must_use]
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// Sends it a signal by name.
-    ///
-    /// # Errors
-    ///
-    /// When that can't be done.
-    pub fn signal(&self, name: &str) -> std::io::Result<()> {
-        Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status().map(drop)
-    }
-
-    /// Waits for its end.
-    ///
-    /// # Errors
-    ///
-    /// When it does not end.
-    pub fn ended(&mut self) -> std::io::Result<std::process::ExitStatus> {
-        let end = Instant::now() + PATIENCE;
-        while Instant::now() < end {
-            if let Some(status) = self.child.try_wait()? {
-                return Ok(status);
-            }
-            std::thread::sleep(Duration::from_millis(2));
-        }
-        Err(std::io::Error::other("the pooler does not end"))
-    }
-}
-
-impl Drop for Pooler {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(&self.folder);
+        let mut process = Process::start(program, &config, operator, &[])?;
+        let address = process.listening()?;
+        Ok(Self { process, address })
     }
 }
--- /dev/null
+++ b/crates/lab/src/processes/mod.rs
@@ -0,0 +1,7 @@
+//! Many processes of the program, and what is broken between them: processes started as the platform does, a relay for each
+//! pair that talks, and a history by one steady clock.
+
+pub mod fleet;
+pub mod history;
+pub mod process;
+pub mod relay;
--- /dev/null
+++ b/crates/lab/src/processes/process.rs
@@ -0,0 +1,209 @@
+//! The program as a process, on files of a folder of its own; ended, whatever fails, when dropped.
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// How long anything may take that is waited for; it only keeps a broken run from hanging.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+/// Lines of a log that are kept, the latest.
+const MOST_LINES: usize = 20_000;
+
+static STARTED: AtomicUsize = AtomicUsize::new(0);
+static ENDED: AtomicUsize = AtomicUsize::new(0);
+
+/// How many processes were started, and how many of them have ended and been waited for.
+#[must_use]
+pub fn count() -> (usize, usize) {
+    (STARTED.load(Ordering::SeqCst), ENDED.load(Ordering::SeqCst))
+}
+
+/// A line of a log, and when it was read.
+pub type Line = (Instant, String);
+
+/// A running process.
+pub struct Process {
+    child: Child,
+    log: Arc<Mutex<Vec<Line>>>,
+    folder: PathBuf,
+    reader: Option<std::thread::JoinHandle<()>>,
+    over: bool,
+}
+
+impl Process {
+    /// Starts `program` with this configuration, an operator's file of this text and these variables.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be started.
+    pub fn start(
+        program: &Path,
+        config: &Value,
+        operator: Option<&str>,
+        variables: &[(&str, String)],
+    ) -> std::io::Result<Self> {
+        static NUMBER: AtomicU32 = AtomicU32::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("linnetdeal-lab-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        std::fs::write(folder.join("config.json"), config.to_string())?;
+        let mut command = Command::new(program);
+        command.env("GW_CONFIG", folder.join("config.json"));
+        for inherited in ["LINNETDEAL_OPERATOR", "LINNETDEAL_BEND", "GW_LISTEN_FD", "GW_OPERATOR"] {
+            command.env_remove(inherited);
+        }
+        if let Some(text) = operator {
+            std::fs::write(folder.join("operator.cue"), text)?;
+            command.env("LINNETDEAL_OPERATOR", folder.join("operator.cue"));
+        }
+        command.envs(variables.iter().map(|(name, value)| (name, value)));
+        let mut child = command.stderr(Stdio::piped()).spawn()?;
+        STARTED.fetch_add(1, Ordering::SeqCst);
+        let lines = child.stderr.take().map(BufReader::new);
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let kept = log.clone();
+        let reader = std::thread::spawn(move || {
+            for line in lines.into_iter().flat_map(BufRead::lines).map_while(Result::ok) {
+                let mut kept = crate::lock(&kept);
+                if kept.len() == MOST_LINES {
+                    kept.drain(..MOST_LINES / 2);
+                }
+                kept.push((Instant::now(), line));
+            }
+        });
+        Ok(Self { child, log, folder, reader: Some(reader), over: false })
+    }
+
+    /// Waits until it listens, and says where.
+    ///
+    /// # Errors
+    ///
+    /// When it does not.
+    pub fn listening(&mut self) -> std::io::Result<SocketAddr> {
+        let line = self.logged(" listening on ")?;
+        let address = line.rsplit(' ').next().and_then(|text| text.parse().ok());
+        address.ok_or_else(|| std::io::Error::other(format!("no address in '{line}'")))
+    }
+
+    /// Waits for a log line with this in it.
+    ///
+    /// # Errors
+    ///
+    /// When none comes.
+    pub fn logged(&mut self, text: &str) -> std::io::Result<String> {
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            if let Some((_, line)) = crate::lock(&self.log).iter().find(|(_, line)| line.contains(text)) {
+                return Ok(line.clone());
+            }
+            if let Some(status) = self.exited()? {
+                let log = self.log().join("\n");
+                return Err(std::io::Error::other(format!("the pooler ended with {status}:\n{log}")));
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        Err(std::io::Error::other(format!("no line with '{text}':\n{}", self.log().join("\n"))))
+    }
+
+    /// All lines so far.
+    #[must_use]
+    pub fn log(&self) -> Vec<String> {
+        crate::lock(&self.log).iter().map(|(_, line)| line.clone()).collect()
+    }
+
+    /// All lines so far, each with the time when it was read.
+    #[must_use]
+    pub fn lines(&self) -> Vec<Line> {
+        crate::lock(&self.log).clone()
+    }
+
+    /// Its process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends it a signal by name, as `TERM`.
+    ///
+    /// # Errors
+    ///
+    /// When that can't be done.
+    pub fn signal(&self, name: &str) -> std::io::Result<()> {
+        let signal = match name {
+            "TERM" => Signal::TERM,
+            "INT" => Signal::INT,
+            "HUP" => Signal::HUP,
+            "USR1" => Signal::USR1,
+            "KILL" => Signal::KILL,
+            "STOP" => Signal::STOP,
+            "CONT" => Signal::CONT,
+            _ => return Err(std::io::Error::other(format!("no signal is called {name} here"))),
+        };
+        // Who was waited for has no id any more; it may be another's by now.
+        if self.over {
+            return Err(std::io::Error::other("it has ended"));
+        }
+        Ok(kill_process(Pid::from_child(&self.child), signal)?)
+    }
+
+    /// Its exit status, once it has ended. Its log is whole then.
+    ///
+    /// # Errors
+    ///
+    /// When that can't be asked.
+    pub fn exited(&mut self) -> std::io::Result<Option<std::process::ExitStatus>> {
+        let status = self.child.try_wait()?;
+        if status.is_some() {
+            self.settle();
+        }
+        Ok(status)
+    }
+
+    /// Waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// When it does not end.
+    pub fn ended(&mut self) -> std::io::Result<std::process::ExitStatus> {
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            if let Some(status) = self.exited()? {
+                return Ok(status);
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        Err(std::io::Error::other("the pooler does not end"))
+    }
+
+    /// Kills it outright, and waits for that.
+    pub fn kill(&mut self) {
+        if !self.over {
+            let _ = self.child.kill();
+            let _ = self.child.wait();
+            self.settle();
+        }
+    }
+
+    /// It has been waited for.
+    fn settle(&mut self) {
+        if !std::mem::replace(&mut self.over, true) {
+            ENDED.fetch_add(1, Ordering::SeqCst);
+        }
+        if let Some(reader) = self.reader.take() {
+            let _ = reader.join();
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
--- a/crates/net/src/counters.rs
+++ b/crates/net/src/counters.rs
@@ -16,6 +16,12 @@
     }
 }
 
+impl fmt::Display for Count {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.get().fmt(f)
+    }
+}
+
 /// All counts since the start.
 #[derive(Debug, Default)]
 pub struct Counters {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod flag;
 pub mod frontend;
 pub mod http;
+pub mod leases;
 pub mod life;
 pub mod members;
 pub mod operation;
@@ -34,6 +35,7 @@
 use driver::Driver;
 use flag::Flag;
 use futures_lite::future::or;
+use leases::{Leases, Wanted};
 use life::Life;
 use linnetdeal_core::Router;
 use linnetdeal_core::backoff::Backoff;
@@ -76,12 +78,13 @@
 }
 
 impl Pooler {
-    /// Opens all that a pooler needs. `config_file` is where `config` was read, and is read again on SIGHUP.
+    /// Opens all that a pooler needs. `config_file` is where `config` was read, and is read again on SIGHUP. `leases` hold
+    /// only where the settings allow poolers to talk.
     ///
     /// # Errors
     ///
     /// When it can't listen, or signals can't be had.
-    pub fn new(config: Config, config_file: PathBuf) -> Result<Self, RunError> {
+    pub fn new(config: Config, config_file: PathBuf, leases: Option<Wanted>) -> Result<Self, RunError> {
         let (shown, life) = (Rc::new(Shown::default()), Rc::new(Life::default()));
         let counters = shown.counters.clone();
         let members = Rc::new(Members::default());
@@ -123,6 +126,21 @@
         });
         shown.add(doubts.clone());
         shown.add(driver.clone());
+        let (leases, calls) = match leases {
+            Some(wanted) if config.peers.is_some() => {
+                (Some(Rc::new(Leases::new(wanted.setup))), wanted.calls)
+            }
+            Some(_) => {
+                tracing::warn!(
+                    "leases are off: the platform lets poolers not talk, or names not all of them"
+                );
+                (None, Vec::new())
+            }
+            None => (None, Vec::new()),
+        };
+        if let Some(leases) = &leases {
+            shown.add(leases.clone());
+        }
         let handler = signals::Handler {
             executor: executor.clone(),
             life: life.clone(),
@@ -205,20 +223,33 @@
         if let Some(address) = config.operator {
             let calls = operation::listen(address).map_err(|error| RunError::Listen(address, error))?;
             let (executor, life, feed) = (executor.clone(), life.clone(), feed.clone());
-            let (shared, open) = (shared.clone(), open.clone());
-            let desk = Rc::new(operation::Desk { executor: executor.clone(), life, feed, shared, open });
+            let (shared, open, leases) = (shared.clone(), open.clone(), leases.clone());
+            let executor_of = executor.clone();
+            let desk = operation::Desk { executor: executor_of, life, feed, shared, open, leases };
+            let desk = Rc::new(desk);
             executor.spawn(operation::run(desk, calls)).detach();
         }
         if let Some(addresses) = config.peers {
             let (driver, life, replaced) = (driver.clone(), life.clone(), handed.is_some());
-            let talk = async move { peers::Talk::open(addresses, driver).await.run(told).await };
-            // The address is the newer process's as soon as this one leaves.
+            let of_talk = leases.clone();
+            let talk = async move { peers::Talk::open(addresses, driver, of_talk).await.run(told).await };
+            // The address is the newer process's as soon as this one leaves, and so are its leases, which are given back first.
+            let (own, taken) = (leases.clone(), shared.clone());
             let left = async move {
                 life.draining.raised().await;
+                if let Some(leases) = &own {
+                    leases.leave(taken.is_some_and(|shared| shared.place_taken())).await;
+                }
                 if !replaced {
                     std::future::pending::<()>().await;
                 }
             };
+            if let Some(leases) = leases {
+                for call in calls {
+                    executor.spawn(leases.clone().acts(executor.clone(), call)).detach();
+                }
+                executor.spawn(async move { leases.run().await }).detach();
+            }
             executor.spawn(or(talk, left)).detach();
         }
         executor.spawn(probes::run(executor.clone(), driver, pool, wanted)).detach();
--- a/crates/net/src/operation.rs
+++ b/crates/net/src/operation.rs
@@ -2,6 +2,7 @@
 //! without a call, each has a task and a limit of its own, and beyond a bound nobody is let in.
 
 use crate::flag::Flag;
+use crate::leases::Leases;
 use crate::life::Life;
 use crate::members::Feed;
 use crate::succession::{LONGEST_ID, Shared};
@@ -38,6 +39,8 @@
     pub(crate) shared: Option<Rc<Shared>>,
     /// The list was heard of, or enough time has passed: clients are taken.
     pub(crate) open: Rc<Flag>,
+    /// The tasks of the whole fleet, where there are any.
+    pub(crate) leases: Option<Rc<Leases>>,
 }
 
 /// Opens the address.
@@ -92,9 +95,15 @@
     fn call(&self, method: &Method, path: &str) -> (StatusCode, String) {
         let no = |status, words: &str| (status, words.to_owned());
         let Some(rest) = path.strip_prefix("/-/") else { return no(StatusCode::NOT_FOUND, "no such call") };
-        let wanted = if rest == "ready" { Method::GET } else { Method::POST };
+        let wanted = if matches!(rest, "ready" | "leases") { Method::GET } else { Method::POST };
         let parts: Vec<&str> = rest.split('/').collect();
-        if !matches!(parts[..], ["ready" | "drain" | "resume"] | ["servers", _, "disable" | "enable"]) {
+        if !matches!(
+            parts[..],
+            ["ready" | "drain" | "resume" | "leases"]
+                | ["servers", _, "disable" | "enable"]
+                | ["leases", _, "release" | "acquire"]
+                | ["leases", _, "hand", _]
+        ) {
             return no(StatusCode::NOT_FOUND, "no such call");
         }
         if *method != wanted {
@@ -109,6 +118,7 @@
                 no(StatusCode::SERVICE_UNAVAILABLE, "no list of servers yet")
             }
             ["ready"] => no(StatusCode::OK, "ready"),
+            ["leases", ..] => self.leases(&parts[1..]),
             ["servers", id, what] => self.server(id, what == "disable"),
             _ => {
                 let on = rest == "drain";
@@ -119,6 +129,23 @@
         }
     }
 
+    fn leases(&self, call: &[&str]) -> (StatusCode, String) {
+        let no = |status, words: &str| (status, words.to_owned());
+        let Some(leases) = &self.leases else { return no(StatusCode::NOT_FOUND, "leases are off here") };
+        let (task, what, heir) = match *call {
+            [task, what] => (task, what, None),
+            [task, what, heir] => match heir.parse::<u16>() {
+                Ok(heir) => (task, what, Some(heir)),
+                Err(_) => return no(StatusCode::BAD_REQUEST, "the heir is a pooler's number"),
+            },
+            _ => return (StatusCode::OK, leases.shown()),
+        };
+        match leases.by_hand(task, what, heir) {
+            Ok(words) => (StatusCode::OK, words),
+            Err(words) => (StatusCode::CONFLICT, words),
+        }
+    }
+
     fn server(&self, id: &str, out: bool) -> (StatusCode, String) {
         let known = id.len() <= LONGEST_ID && self.feed.by_hand(&MemberId(Arc::from(id)), out);
         if !known {
--- a/crates/net/src/peers.rs
+++ b/crates/net/src/peers.rs
@@ -3,9 +3,11 @@
 
 use crate::config::PeerAddresses;
 use crate::driver::Driver;
+use crate::leases::Leases;
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use futures_lite::future::{or, yield_now};
+use linnetdeal_coordination::lease::MAGIC;
 use linnetdeal_core::Event;
 use linnetdeal_core::peers::{LONGEST, To};
 use std::collections::HashMap;
@@ -27,17 +29,18 @@
     addresses: PeerAddresses,
     numbers: HashMap<SocketAddr, u32>,
     driver: Rc<Driver>,
+    leases: Option<Rc<Leases>>,
 }
 
 impl Talk {
     /// Opens the socket. The process whose place this one takes may hold the address still, and service needs no talk:
     /// it is tried until it is free.
-    pub async fn open(addresses: PeerAddresses, driver: Rc<Driver>) -> Self {
+    pub async fn open(addresses: PeerAddresses, driver: Rc<Driver>, leases: Option<Rc<Leases>>) -> Self {
         let numbers = (0..).zip(&addresses.each).map(|(at, address)| (*address, at)).collect();
         let mut told = false;
         loop {
             match Async::<UdpSocket>::bind(addresses.listen) {
-                Ok(socket) => return Self { socket, addresses, numbers, driver },
+                Ok(socket) => return Self { socket, addresses, numbers, driver, leases },
                 Err(error) if !told => {
                     tracing::warn!("other poolers are not heard yet, {}: {error}", addresses.listen);
                     told = true;
@@ -50,7 +53,19 @@
 
     /// Sends what is to be told and hands on what comes. Runs as long as the module does.
     pub async fn run(self, tells: Receiver<(To, Vec<u8>)>) {
-        or(self.send(tells), self.receive()).await;
+        or(or(self.send(tells), self.send_letters()), self.receive()).await;
+    }
+
+    async fn send_letters(&self) {
+        let Some(leases) = &self.leases else { return std::future::pending().await };
+        while let Some((to, bytes)) = leases.next_letter().await {
+            if let Some(address) = self.addresses.each.get(usize::from(to)) {
+                let _ = self.socket.send_to(&bytes, *address).await;
+            }
+            leases.sent();
+        }
+        // The tasks of a pooler that leaves are given back: nothing more is to be sent.
+        std::future::pending().await
     }
 
     async fn send(&self, tells: Receiver<(To, Vec<u8>)>) {
@@ -84,8 +99,12 @@
             match self.socket.recv_from(&mut buffer).await {
                 Ok((size, sender)) => match self.numbers.get(&sender) {
                     Some(from) => {
-                        self.driver.counters.heard.add();
-                        self.driver.feed(Event::Told { from: *from, bytes: buffer[..size].to_vec() });
+                        if let (Some(leases), MAGIC) = (&self.leases, buffer[0]) {
+                            leases.take(*from, &buffer[..size]);
+                        } else {
+                            self.driver.counters.heard.add();
+                            self.driver.feed(Event::Told { from: *from, bytes: buffer[..size].to_vec() });
+                        }
                     }
                     None => self.driver.counters.strangers.add(),
                 },
--- a/crates/operator/src/schema.cue
+++ b/crates/operator/src/schema.cue
@@ -104,6 +104,47 @@
 	unplanned?: #Change
 }
 
+// A pooler, by its place in the platform's list of poolers.
+#Number: int & >=0 & <=65000
+
+// What a task's holder calls, over HTTP/1.1: 'begin', and 'end' when it is done.
+#Call: {
+	address!: =~"^[0-9a-fA-F.:\\[\\]]+:[0-9]+$"
+	path:     =~"^/[^ \n]{0,256}$" | *"/"
+	// A pause between two acts, and how long each lasts.
+	every: #Duration | *"1s"
+	lasts: #Duration | *"1ms"
+}
+
+// A task of the whole fleet.
+#Task: {
+	name!: #Word
+	// Who holds it and dies leaves it alone for so long.
+	term: #Duration | *"3s"
+	// Who may hold it; all poolers where none is named.
+	candidates: [...#Number] | *[]
+	call?: #Call
+}
+
+// Tasks that one pooler of the fleet does at a time. All poolers have the same here.
+#Leases: {
+	// The installation, and the version of the voters: poolers that differ in either don't talk.
+	site!:    #Word
+	version!: int & >=1 & <=1000000000
+	// 3, 5 or 7 poolers that decide.
+	voters!: [...#Number]
+	// The sets that poolers of other versions may still go by.
+	previous: [...[...#Number]] | *[]
+	// Clocks of any two poolers differ in speed by no more than so many parts in a thousand, each.
+	drift: int & >=0 & <=500 | *50
+	// No term is longer. A voter that has started is silent for so long; it is made shorter in two versions only.
+	longest: #Duration | *"10s"
+	// Files with a key in their first line, 16 bytes or more; the first signs, all are believed.
+	keys!: [...#Path]
+	tasks!: [...#Task]
+}
+
 registry?: #Registry
+leases?:   #Leases
 primary:   #Primary
 log:       #Log
--- a/crates/operator/src/typed.rs
+++ b/crates/operator/src/typed.rs
@@ -1,5 +1,7 @@
 //! The file as plain types, with what a schema can't check: that networks are networks and bounds fit one another.
 
+mod leases;
+
 use crate::eval::{Fault, Place, Tree};
 use ipnet::IpNet;
 use serde::Deserialize;
@@ -7,11 +9,16 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use leases::RawLeases;
+pub use leases::{Call, LeaseSettings, Task};
+
 /// What an operator wants.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Operator {
     /// The registry that is followed, if one is.
     pub registry: Option<RegistrySettings>,
+    /// Tasks of the whole fleet, where there are any.
+    pub leases: Option<LeaseSettings>,
     /// What is known of changes of primary.
     pub primary: PrimarySettings,
     /// What is written to standard error.
@@ -178,6 +185,7 @@
 #[derive(Deserialize)]
 struct RawFile {
     registry: Option<RawRegistry>,
+    leases: Option<RawLeases>,
     primary: RawPrimary,
     log: LogSettings,
 }
@@ -283,12 +291,17 @@
         .map_err(|error| vec![Fault { place: Place::default(), what: error.to_string() }])?;
     let mut check = Checker { tree, faults: Vec::new() };
     let registry = raw.registry.map(|raw| registry(raw, &mut check));
+    let leases = raw.leases.map(|raw| leases::decode(raw, &mut check));
     let primary = PrimarySettings {
         planned: raw.primary.planned.map(|raw| change("primary.planned", &raw, &mut check)),
         unplanned: raw.primary.unplanned.map(|raw| change("primary.unplanned", &raw, &mut check)),
     };
     check.faults.sort();
-    if check.faults.is_empty() { Ok(Operator { registry, primary, log: raw.log }) } else { Err(check.faults) }
+    if check.faults.is_empty() {
+        Ok(Operator { registry, leases, primary, log: raw.log })
+    } else {
+        Err(check.faults)
+    }
 }
 
 fn change(path: &str, raw: &RawChange, check: &mut Checker<'_>) -> ChangeSettings {
--- a/crates/operator/tests/files.rs
+++ b/crates/operator/tests/files.rs
@@ -129,3 +129,35 @@
         let _ = decode(&format!("{}{junk}{rest}", &text[..cut]));
     }
 }
+
+const LEASES: &str = r#"package linnetdeal
+leases: {
+	site: "kumasi"
+	version: 2
+	voters: [0, 1, 3]
+	previous: [[0, 1, 2]]
+	keys: ["key"]
+	tasks: [{name: "sweep", term: "1s", call: {address: "127.0.0.1:80"}}]
+}
+"#;
+
+#[test]
+fn leases_are_read_whole_or_refused_with_their_places() {
+    let leases = decode(LEASES).unwrap().leases.unwrap();
+    assert_eq!((leases.version, leases.drift, leases.previous.len()), (2, 50, 1));
+    assert_eq!(leases.tasks[0].call.as_ref().map(|call| call.path.as_str()), Some("/"));
+    for (good, bad, words) in [
+        ("[0, 1, 3]", "[0, 1]", "2 voters are named, and 3, 5 or 7 decide"),
+        ("[0, 1, 3]", "[0, 1, 1]", "a pooler is named twice"),
+        ("[0, 1, 3]", "[0, 4, 3]", "voters change one at a time"),
+        ("[\"key\"]", "[]", "0 keys are named"),
+        ("\"1s\"", "\"11s\"", "11s is longer than 'longest'"),
+        ("\"1s\"", "\"10ms\"", "10ms is not between"),
+        ("127.0.0.1:80", "127.0.0.1:99999", "leases"),
+        ("site: \"kumasi\"\n", "", "site"),
+    ] {
+        let text = LEASES.replace(good, bad);
+        let told = decode(&text).unwrap_err();
+        assert!(told.contains(words) || words == "leases" && told.contains("f:8:"), "{bad}: {told}");
+    }
+}
--- /dev/null
+++ b/scenarios/leases/act-under-way.cue
@@ -0,0 +1,14 @@
+// A call is on its way when its term is over: the gate turns it away.
+package leases
+
+name: "act-under-way"
+late_acts: true
+rounds: 3
+steps: [
+	{do: "hold-gate", lasts: "1200ms"},
+	{do: "wait", lasts: "100ms"},
+	{do: "cut", who: "same", then: "takeover"},
+	{do: "hold-gate", who: "all"},
+	{do: "heal"},
+	{do: "wait", lasts: "1300ms"},
+]
--- /dev/null
+++ b/scenarios/leases/flipped.cue
@@ -0,0 +1,10 @@
+// In a tenth of all datagrams a bit is flipped.
+package leases
+
+name: "flipped"
+rounds: 5
+steps: [
+	{do: "noise", flipped: 100, doubled: 100},
+	{do: "kill", then: "takeover"},
+	{do: "start", who: "same"},
+]
--- /dev/null
+++ b/scenarios/leases/handed-to-the-dead.cue
@@ -0,0 +1,10 @@
+// The task is handed to a pooler that has just died.
+package leases
+
+name: "handed-to-the-dead"
+rounds: 3
+steps: [
+	{do: "kill", who: "4"},
+	{do: "hand", to: "4", then: "takeover"},
+	{do: "start", who: "4"},
+]
--- /dev/null
+++ b/scenarios/leases/holder-deaf.cue
@@ -0,0 +1,9 @@
+// Nothing comes to the holder, though what it sends arrives.
+package leases
+
+name: "holder-deaf"
+rounds: 4
+steps: [
+	{do: "cut", way: "in", then: "takeover"},
+	{do: "heal"},
+]
--- /dev/null
+++ b/scenarios/leases/lost.cue
@@ -0,0 +1,10 @@
+// A fifth of all datagrams are lost.
+package leases
+
+name: "lost"
+rounds: 5
+steps: [
+	{do: "noise", lost: 200},
+	{do: "kill", then: "takeover"},
+	{do: "start", who: "same"},
+]
--- /dev/null
+++ b/scenarios/leases/majority-lost.cue
@@ -0,0 +1,11 @@
+// Two of three voters die; nobody acts, one term later. They return with empty memory.
+package leases
+
+name: "majority-lost"
+rounds: 3
+steps: [
+	{do: "kill", who: "0"},
+	{do: "kill", who: "1", then: "nobody", lasts: "800ms"},
+	{do: "start", who: "0"},
+	{do: "start", who: "1", then: "takeover"},
+]
--- /dev/null
+++ b/scenarios/leases/voters-all-at-once.cue
@@ -0,0 +1,9 @@
+// All voters restart at once with empty memory, and once all poolers do.
+package leases
+
+name: "voters-all-at-once"
+rounds: 2
+steps: [
+	{do: "start", who: "voters", then: "takeover"},
+	{do: "start", who: "all", then: "takeover"},
+]
--- /dev/null
+++ b/scenarios/leases/voters-one-by-one.cue
@@ -0,0 +1,15 @@
+// Voters restart one by one; who holds goes on, unless it was the one.
+package leases
+
+name: "voters-one-by-one"
+rounds: 2
+steps: [
+	{do: "start", who: "0"},
+	{do: "wait", lasts: "600ms"},
+	{do: "start", who: "1"},
+	{do: "wait", lasts: "600ms"},
+	{do: "start", who: "2"},
+	{do: "wait", lasts: "600ms"},
+	{do: "kill", then: "takeover"},
+	{do: "start", who: "same"},
+]
