--- a/crates/coordination/src/lease/claimant.rs
+++ b/crates/coordination/src/lease/claimant.rs
@@ -82,6 +82,8 @@
     who: Who,
     /// How long a grant may be used.
     held: Span,
+    /// The latest token that was claimed with.
+    last: Token,
     stage: Stage,
     rules: PhantomData<R>,
 }
@@ -90,7 +92,7 @@
     /// A claimant for grants of `term`, where clocks run wrong by up to `drift` parts in a thousand.
     #[must_use]
     pub fn new(who: Who, term: Span, drift: u16) -> Self {
-        Self { who, held: R::held(term, drift), stage: Stage::Idle, rules: PhantomData }
+        Self { who, held: R::held(term, drift), last: Token(0), stage: Stage::Idle, rules: PhantomData }
     }
 
     /// Who claims.
@@ -119,9 +121,13 @@
         self.stage = Stage::Asking { round: Round::begin(now, number), floor: Token(0) };
     }
 
-    /// Begins to claim with this token. `now` is read before anything is sent.
-    pub fn claim(&mut self, now: Time, number: u32, token: Token) {
+    /// Begins to claim, with a token above this floor; says which. `now` is read before anything is sent. No token is claimed
+    /// with twice: a release of the first claim that comes late would end what the second one was granted.
+    pub fn claim(&mut self, now: Time, number: u32, floor: Token) -> Token {
+        let token = Token(floor.max(self.last).0.saturating_add(1));
+        self.last = token;
         self.stage = Stage::Claiming { round: Round::begin(now, number), token };
+        token
     }
 
     /// Begins to renew; the token to claim again, if one is held still. `now` is read before anything is sent.
@@ -183,7 +189,8 @@
                 if council.decides::<R>(&round.yes) {
                     *until = (*until).max(if R::FROM_SENDING { round.sent } else { now } + held);
                     *renewal = None;
-                    return Step::Held(token);
+                    // After the term it is nobody's, and may be another's by now.
+                    return if now < *until { Step::Held(token) } else { Step::Wait };
                 }
             }
             _ => {}
--- a/crates/coordination/src/lease/node.rs
+++ b/crates/coordination/src/lease/node.rs
@@ -18,6 +18,8 @@
 const MOST_NOTES: usize = 256;
 /// The longest pause of who finds no majority, in terms.
 const LONGEST_PAUSE: i64 = 2;
+/// A round is sent so often, a sixteenth of the term apart, before it is given up.
+const SENDS: u32 = 4;
 
 /// A task as an installation has it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -85,6 +87,8 @@
     Site(u16),
     /// A datagram from the address of this pooler was altered or has no key of ours.
     Code(u16),
+    /// Two processes answer for the voter of this number; neither counts.
+    Twins(u16),
 }
 
 struct Task<R> {
@@ -94,6 +98,8 @@
     claimant: Claimant<R>,
     /// The next step of an own claim, or when it is looked again who has the task.
     due: Time,
+    /// How often the present round was sent.
+    sent: u32,
     pause: Span,
     /// Who has it, as told then.
     known: Option<(Holder, Time)>,
@@ -107,6 +113,7 @@
     life: u64,
     newest: u64,
     seen: u64,
+    last: Time,
 }
 
 struct Ear {
@@ -119,16 +126,17 @@
 impl Ear {
     /// Whether this letter is new. Of a life that was forgotten, and of a receiver that has forgotten all, a replay is taken
     /// for new: then floors and running grants turn it away, or it costs a term.
-    fn is_new(&mut self, sender: Who, number: u64) -> bool {
+    fn is_new(&mut self, now: Time, sender: Who, number: u64) -> bool {
         if !self.lives.iter().any(|life| life.life == sender.life) {
             if self.lives.len() == MOST_LIVES {
                 self.lives.pop_front();
             }
-            self.lives.push_back(Life { life: sender.life, newest: number, seen: 1 });
+            self.lives.push_back(Life { life: sender.life, newest: number, seen: 1, last: now });
             return true;
         }
         let Some(life) = self.lives.iter_mut().find(|life| life.life == sender.life) else { return false };
         if number > life.newest {
+            life.last = now;
             let ahead = number - life.newest;
             life.seen = if ahead < WINDOW { life.seen << ahead | 1 } else { 1 };
             life.newest = number;
@@ -177,6 +185,8 @@
     look: Option<(u32, Option<TaskId>)>,
     look_due: Time,
     look_pause: Span,
+    /// Looks in a row that nobody has answered.
+    unanswered: u32,
     /// What is for this pooler itself.
     own: VecDeque<Body>,
     out: Vec<(u16, Vec<u8>)>,
@@ -201,6 +211,7 @@
                 wanted: task.wanted,
                 claimant,
                 due,
+                sent: 0,
                 pause: Span(task.term.0 / 8),
                 known: None,
                 highest: Token(0),
@@ -226,7 +237,8 @@
             ears: BTreeMap::new(),
             look: None,
             look_due: now,
-            look_pause: Span(shortest.0 / 4),
+            look_pause: Span(shortest.0 / 8),
+            unanswered: 0,
             own: VecDeque::new(),
             out: Vec::new(),
             notes: Vec::new(),
@@ -375,10 +387,17 @@
             self.note_once(Note::Version(from, letter.version));
             return Err(Refused::Version(letter.version));
         }
-        if !ear.is_new(letter.sender, letter.number) {
+        if !ear.is_new(now, letter.sender, letter.number) {
             return Err(Refused::Replayed);
         }
         ear.last = now;
+        // Two voters of one number share no memory. A restart is silent for longer than this, so that it is no twin.
+        let since = Span(self.longest.0 / 4 * 3);
+        let twins = ear.lives.iter().any(|of| of.life != letter.sender.life && now - of.last < since);
+        if twins && matches!(letter.body, Body::Answer { .. }) {
+            self.note_once(Note::Twins(from));
+            return Ok(());
+        }
         self.read(now, letter.sender, letter.body);
         self.settle(now);
         Ok(())
@@ -408,6 +427,8 @@
                     task.claimant.stop();
                     task.due = now + Span(part(&mut self.rng, task.term.0 / 4));
                     self.note(Note::Lost(id, token));
+                    // Voters may have renewed it without a word of theirs coming back.
+                    self.tell_voters(&Body::Release { task: id, token, heir: None });
                     return;
                 }
                 // Three claims to a term, so that two may be lost.
@@ -415,7 +436,17 @@
                 let term = task.term;
                 self.tell_voters(&Body::Claim { task: id, round, token, term });
             }
+            // What was lost is sent again: a voter that has it already grants no more by it.
+            Stage::Asking { round, .. } if task.sent < SENDS => {
+                let body = Body::Ask { task: id, round: round.number, known: task.highest };
+                self.send_round(now, id, &body);
+            }
+            Stage::Claiming { round, token } if task.sent < SENDS => {
+                let body = Body::Claim { task: id, round: round.number, token: *token, term: task.term };
+                self.send_round(now, id, &body);
+            }
             Stage::Asking { .. } | Stage::Claiming { .. } => self.back_off(now, id),
+            Stage::Idle if task.offered > now => self.ask(now, id),
             Stage::Idle => {
                 let free = task.known.map(|(holder, at)| at + holder.left).filter(|free| *free > now);
                 match free {
@@ -455,9 +486,17 @@
         }
         self.rounds = self.rounds.wrapping_add(1);
         task.claimant.ask(now, self.rounds);
-        task.due = now + Span(task.term.0 / 4);
+        task.sent = 0;
         let body = Body::Ask { task: id, round: self.rounds, known: task.highest };
-        self.tell_voters(&body);
+        self.send_round(now, id, &body);
+    }
+
+    /// Sends what asks or claims to all voters, and has it sent again if too few answer.
+    fn send_round(&mut self, now: Time, id: TaskId, body: &Body) {
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        task.sent += 1;
+        task.due = now + Span(task.term.0 / 16);
+        self.tell_voters(body);
     }
 
     /// Asks one voter who has what. As long as none answers, less and less often.
@@ -467,15 +506,21 @@
             self.look_due = now + self.longest;
             return;
         }
-        if self.look.is_some() {
+        let again = self.look.is_some();
+        self.unanswered += u32::from(again);
+        if again && self.unanswered % 2 == 0 {
             let longest = self.shortest.0 * LONGEST_PAUSE;
             self.look_pause = Span((self.look_pause.0 * 2).min(longest));
         }
         self.look_due = now + self.look_pause + Span(part(&mut self.rng, self.look_pause.0 / 2));
         self.rounds = self.rounds.wrapping_add(1);
         self.look = Some((self.rounds, None));
-        let voter = others[self.rng.next_u32() as usize % others.len()];
-        self.post(voter, Body::Look { round: self.rounds, after: None });
+        // The one that was asked before may be dead, or its word is lost: then all are asked.
+        let first = self.rng.next_u32() as usize % others.len();
+        let asked = if again { &others[..] } else { &others[first..=first] };
+        for voter in asked {
+            self.post(*voter, Body::Look { round: self.rounds, after: None });
+        }
     }
 
     fn read(&mut self, now: Time, sender: Who, body: Body) {
@@ -531,6 +576,8 @@
     fn answered(&mut self, now: Time, voter: u16, id: TaskId, number: u32, answer: Answer) {
         let Some(task) = self.tasks.get_mut(&id) else { return };
         task.highest = task.highest.max(answer.floor);
+        // Not alone: there is no need to wait for long.
+        task.pause = task.pause.min(Span(task.term.0 / 4));
         if let Some(holder) = answer.holder {
             task.known = Some((holder, now));
         }
@@ -538,12 +585,11 @@
         match task.claimant.answer(now, &self.council, voter, number, answer) {
             Step::Wait => {}
             Step::Claim(floor) => {
-                let token = Token(floor.max(task.highest).0.saturating_add(1));
                 self.rounds = self.rounds.wrapping_add(1);
-                task.claimant.claim(now, self.rounds, token);
-                task.due = now + Span(task.term.0 / 4);
+                let token = task.claimant.claim(now, self.rounds, floor.max(task.highest));
+                task.sent = 0;
                 let body = Body::Claim { task: id, round: self.rounds, token, term: task.term };
-                self.tell_voters(&body);
+                self.send_round(now, id, &body);
             }
             Step::Held(token) => {
                 task.highest = task.highest.max(token);
@@ -564,7 +610,8 @@
     fn seen(&mut self, now: Time, voter: u16, round: u32, more: bool, tasks: &[Seen]) {
         let Some((_, after)) = self.look.filter(|(number, _)| *number == round) else { return };
         self.look = None;
-        self.look_pause = Span(self.shortest.0 / 4);
+        self.unanswered = 0;
+        self.look_pause = Span(self.shortest.0 / 8);
         let last = tasks.last().map(|(task, _)| *task).filter(|_| more);
         let mut free = Vec::new();
         for (id, task) in &mut self.tasks {
--- a/crates/coordination/src/lease/voter.rs
+++ b/crates/coordination/src/lease/voter.rs
@@ -68,12 +68,14 @@
 }
 
 impl<R: Rules> Voter<R> {
-    /// A voter that has just started with empty memory. It may have granted something a moment ago for the longest term
-    /// that there is, and a token that its `wall` clock, in ms since 1970, is above.
+    /// A voter that has just started with empty memory. It may have granted something a moment ago, for the longest term
+    /// that there is. Its floor is what its `wall` clock, in ms since 1970, will show when it votes again: the clock alone would
+    /// be no higher than a token that was granted within the same millisecond.
     #[must_use]
     pub fn new(now: Time, longest: Span, wall: u64) -> Self {
         let silent_until = if R::SILENT { now + longest } else { now };
-        Self { silent_until, floor: Token(wall), tasks: BTreeMap::new(), rules: PhantomData }
+        let floor = Token(wall.saturating_add(u64::try_from(longest.0 / 1_000).unwrap_or(0)));
+        Self { silent_until, floor, tasks: BTreeMap::new(), rules: PhantomData }
     }
 
     /// Whether it says nothing yet.
@@ -119,10 +121,11 @@
         let own = running.filter(|grant| {
             grant.until > now && grant.life == Some(who.life) && grant.is_of(who) && grant.token == token
         });
-        let renewed = own.is_some() && token == floor;
-        // An older claim that comes late, or twice, must not make a grant last longer than its holder knows of.
-        if renewed && own.is_some_and(|grant| claim.wrapping_sub(grant.claim) as i32 <= 0) {
-            return Some(no);
+        // What runs is renewed whatever the floor is by now: who was beaten raises it, and must not end what beat him.
+        let renewed = own.is_some();
+        // A claim that comes again, or after a later one, is granted already, and for no longer than it was.
+        if own.is_some_and(|grant| claim.wrapping_sub(grant.claim) as i32 <= 0) {
+            return Some(Answer { yes: true, ..answer });
         }
         if R::EXCLUSIVE && !answer.yes || R::ABOVE_FLOOR && !renewed && token <= floor {
             return Some(no);
--- a/crates/lab/src/leases/mod.rs
+++ b/crates/lab/src/leases/mod.rs
@@ -2,7 +2,9 @@
 //! the gate saw; and the same decisions through all orders of events, with each part of them taken away once.
 
 pub mod audit;
+pub mod check;
 pub mod gate;
+pub mod mutants;
 pub mod play;
 pub mod proof;
 pub mod script;
--- a/crates/lab/src/leases/proof.rs
+++ b/crates/lab/src/leases/proof.rs
@@ -1,13 +1,19 @@
 //! All of the proof, and its last line.
 
+use super::check::{Bounds, check};
+use super::mutants;
 use super::play::{Outcome, play};
 use super::script::Script;
 use crate::at_once;
 use crate::processes::process;
+use linnetdeal_coordination::lease::Sound;
 use serde_json::json;
 use std::fmt::Display;
 use std::path::PathBuf;
 
+/// Threads of a model check.
+const THREADS: usize = 6;
+
 /// What is to be played.
 pub struct Wanted {
     /// The folder of the scripts.
@@ -100,3 +106,62 @@
         "bytes_max": whole.longest, "started": started, "leaks": started - ended}));
     Ok(well && started == ended)
 }
+
+/// What the model check showed.
+pub struct Modelled {
+    /// States of the leases as they are.
+    pub states: usize,
+    /// Mutants.
+    pub mutants: usize,
+    /// Mutants found.
+    pub found: usize,
+    /// Nothing was wrong with the leases as they are, and all mutants were found.
+    pub well: bool,
+}
+
+/// Checks the votes as they are within several bounds, and each mutant.
+///
+/// # Errors
+///
+/// Never; so that it can stand beside the other proofs.
+pub fn model(
+    most: usize,
+    say: impl Fn(&dyn Display),
+) -> Result<Modelled, Box<dyn std::error::Error + Send + Sync>> {
+    let of = mutants::bounds();
+    let cases = [
+        ("two claimants, duplicates, losses, pauses", of),
+        ("clocks wrong by what was stated", Bounds { drift: true, ..of }),
+        ("a voter starts anew", Bounds { voters: 1, drift: true, ..of }),
+        ("a claimant starts anew", Bounds { claimants: 1, ticks: 3, ..of }),
+        ("the task is given up", Bounds { releases: 1, ..of }),
+        ("acts under way", Bounds { acts: true, ..of }),
+        ("a renewal or a second claim each", Bounds { rounds: 2, ..of }),
+    ];
+    let mut all = Modelled { states: 0, mutants: 0, found: 0, well: true };
+    for (name, bounds) in cases {
+        let found = check::<Sound>(bounds, THREADS, most);
+        let words = found
+            .wrong
+            .as_ref()
+            .map_or("no rule broken".to_owned(), |(words, steps)| format!("{words}: {steps:?}"));
+        let hands = if found.changed_hands { "" } else { ", AND THE TASK NEVER CHANGED HANDS" };
+        let whole = if found.whole { "all of" } else { "of more" };
+        say(&format!(
+            "model: {name:<44} {whole} {:>9} states, {:>3} deep, {words}{hands}",
+            found.states, found.depth
+        ));
+        all.states += found.states;
+        all.well &= found.wrong.is_none() && found.changed_hands;
+    }
+    for tried in mutants::all(THREADS, most) {
+        let words = tried.found.wrong.as_ref().map_or("NOT FOUND".to_owned(), |(words, steps)| {
+            format!("found in {} steps: {words}", steps.len())
+        });
+        say(&format!("mutant: {:<43} {:>9} states, {words}", tried.name, tried.found.states));
+        all.mutants += 1;
+        all.found += usize::from(tried.found.wrong.is_some());
+    }
+    all.well &= all.found == all.mutants;
+    Ok(all)
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -91,6 +91,12 @@
         #[arg(long, default_value_t = 300)]
         fleet: usize,
     },
+    /// Check the votes of leases through all orders of events within bounds, and have each of their parts taken away once.
+    LeaseModel {
+        /// No more states than this are looked at in one check.
+        #[arg(long, default_value_t = 3_000_000)]
+        most: usize,
+    },
     /// Check the decisions through all orders of a change of primary, within bounds.
     Model {
         /// Routers.
@@ -208,6 +214,9 @@
             };
             linnetdeal_lab::leases::proof::run(&wanted, |line| say!("{line}"))
         }
+        Command::LeaseModel { most } => {
+            linnetdeal_lab::leases::proof::model(most, |line| say!("{line}")).map(|of| of.well)
+        }
         Command::Model { routers, writes, losses, crashes } => {
             let bounds = Bounds { routers, writes, losses, crashes, drains: true, wrong_reset: false };
             let found = check(bounds, 4);
--- a/crates/lab/src/processes/history.rs
+++ b/crates/lab/src/processes/history.rs
@@ -62,6 +62,12 @@
 }
 
 impl History {
+    /// The time now, in microseconds since its begin.
+    #[must_use]
+    pub fn now(&self) -> u64 {
+        u64::try_from(self.began.elapsed().as_micros()).unwrap_or(u64::MAX)
+    }
+
     /// Adds what happens now.
     pub fn add(&self, event: Event) {
         self.add_at(Instant::now(), event);
--- a/crates/net/src/leases.rs
+++ b/crates/net/src/leases.rs
@@ -332,6 +332,9 @@
                 Note::Site(from) => tracing::warn!(
                     "leases: pooler {from} is refused, it is of another site or counts with other terms or drift"
                 ),
+                Note::Twins(from) => tracing::warn!(
+                    "leases: two processes answer for voter {from}, and neither counts until one of them ends"
+                ),
                 Note::Code(from) => tracing::warn!(
                     "leases: what comes from pooler {from} is refused, it is altered or signed with another key"
                 ),
--- a/scenarios/leases/handed-to-the-dead.cue
+++ b/scenarios/leases/handed-to-the-dead.cue
@@ -5,6 +5,7 @@
 rounds: 3
 steps: [
 	{do: "kill", who: "4"},
+	{do: "wait", lasts: "900ms"},
 	{do: "hand", to: "4", then: "takeover"},
 	{do: "start", who: "4"},
 ]
--- /dev/null
+++ b/scenarios/leases/two-of-one-voter.cue
@@ -0,0 +1,16 @@
+// A second process of the name and number of a voter, which gets all that the first one gets: the gate has to hold.
+package leases
+
+name: "two-of-one-voter"
+late_acts: true
+rounds: 3
+steps: [
+	{do: "twin", who: "1"},
+	{do: "wait", lasts: "900ms"},
+	{do: "hand", to: "1"},
+	{do: "wait", lasts: "900ms"},
+	{do: "release"},
+	{do: "wait", lasts: "900ms"},
+	{do: "start", who: "1"},
+	{do: "wait", lasts: "900ms"},
+]
