--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The common tasks. CONFIG names the configuration for `make run`.
 CONFIG ?= config.json
 
-.PHONY: build test lint run ci lab proof-eureka bench-eureka proof-primary proof-emulator bench-cost demo
+.PHONY: build test lint run ci lab proof-leases proof-eureka bench-eureka proof-primary proof-emulator bench-cost demo
 
 build:
 	cargo build --locked --release
@@ -40,6 +40,13 @@
 proof-emulator: lab
 	target/release/linnetdeal-lab emulator
 
+# Leases: 270 scripts with processes and faults between them, 300 processes, the model check and its mutants; the last line is one
+# JSON object. The daemon is a debug build, since no release build has clocks that can be bent.
+proof-leases:
+	cargo build --locked -p linnetdeal
+	cargo build --locked --release -p linnetdeal-lab
+	LINNETDEAL=target/debug/linnetdeal target/release/linnetdeal-lab leases
+
 # What the pooler adds to a request in time and CPU, against boxes that answer at once; the last line is one JSON object.
 bench-cost: lab
 	target/release/linnetdeal-lab cost
--- a/crates/coordination/src/lease/node.rs
+++ b/crates/coordination/src/lease/node.rs
@@ -432,7 +432,7 @@
                     return;
                 }
                 // Three claims to a term, so that two may be lost.
-                task.due = now + Span(task.term.0 / 4 + part(&mut self.rng, task.term.0 / 12));
+                task.due = now + Span(task.term.0 * 7 / 24 + part(&mut self.rng, task.term.0 / 12));
                 let term = task.term;
                 self.tell_voters(&Body::Claim { task: id, round, token, term });
             }
--- /dev/null
+++ b/crates/daemon/tests/leases.rs
@@ -0,0 +1,126 @@
+//! Leases among processes of the program, with faults between them: all scripts once, with fixed seeds.
+
+use linnetdeal_lab::at_once;
+use linnetdeal_lab::leases::play::play;
+use linnetdeal_lab::leases::script::{Do, Script};
+use linnetdeal_lab::processes::fleet::{Fleet, Spec};
+use linnetdeal_lab::processes::process;
+use serde_json::{Value, json};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_linnetdeal");
+/// Scripts that run side by side; on four cores each process gets what it needs.
+const AT_ONCE: usize = 6;
+
+fn scripts() -> Vec<Script> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios/leases");
+    Script::folder(&folder).expect("scripts")
+}
+
+#[test]
+fn two_holders_never_act_at_once_whatever_fails() {
+    let scripts = scripts();
+    let outcomes = at_once(&scripts, AT_ONCE, |script| play(script, script.seed, Path::new(PROGRAM)));
+    let mut wrong = Vec::new();
+    for (script, outcome) in scripts.iter().zip(outcomes) {
+        let outcome = outcome.expect(&script.name);
+        println!("{}, seed {}: {outcome:?}", script.name, script.seed);
+        if !outcome.is_well(script) {
+            wrong.push((script.name.clone(), outcome));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+/// What stays in force where clocks run beyond what was stated is the gate alone: without it, older tokens get through.
+#[test]
+fn without_its_gate_the_worst_script_is_found_out() {
+    let mut script = scripts().into_iter().find(|script| script.name == "drift-beyond").expect("the script");
+    script.gate = false;
+    let let_through = (1..=3).any(|seed| {
+        let outcome = play(&script, seed, Path::new(PROGRAM)).expect("a play");
+        println!("seed {seed}: {outcome:?}");
+        outcome.verdict.old_tokens_let_through > 0
+    });
+    assert!(let_through, "the audit finds nothing where there must be something");
+}
+
+fn operator(folder: &Path, key: &str) -> String {
+    std::fs::write(folder.join("key"), key).expect("a file");
+    format!(
+        "package linnetdeal\nleases: {{site: \"test\", version: 1, voters: [0, 1, 2], longest: \"500ms\", keys: [{:?}],\n\
+         tasks: [{{name: \"sweep\", term: \"500ms\"}}]}}\n",
+        folder.join("key").display().to_string()
+    )
+}
+
+#[test]
+fn the_second_address_shows_leases_and_moves_them() {
+    let folder = std::env::temp_dir().join(format!("linnetdeal-leases-test-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let text = operator(&folder, "a key that is long enough");
+    let known = json!({"generation": 1, "reset": true, "instances": []});
+    let spec = Spec { program: PROGRAM.into(), count: 3, seed: 4, known, between: Box::new(|_, _| true) };
+    let mut fleet = Fleet::lay(spec).expect("a fleet");
+    for at in 0..3 {
+        fleet.start(at, &text, &[]).expect("a start");
+    }
+    for at in 0..3 {
+        fleet.ready(at).expect("a pooler");
+    }
+    let shown = |fleet: &Fleet, at: usize| -> Value {
+        let (status, body) = fleet.call(at, "GET", "/-/leases").expect("an answer");
+        assert_eq!(status, 200);
+        serde_json::from_str(&body).expect("JSON")
+    };
+    let holder = |fleet: &Fleet, at: usize| shown(fleet, at)["tasks"][0]["holder"]["pooler"].as_u64();
+    let until = |fleet: &Fleet, what: &dyn Fn(&Fleet) -> bool| {
+        let end = Instant::now() + process::PATIENCE;
+        while !what(fleet) {
+            assert!(Instant::now() < end, "in vain: {}", shown(fleet, 0));
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    };
+    // All of them see the same one.
+    until(&fleet, &|fleet| {
+        holder(fleet, 0).is_some() && (1..3).all(|at| holder(fleet, at) == holder(fleet, 0))
+    });
+    let first = holder(&fleet, 0).expect("a holder") as usize;
+    let token = shown(&fleet, first)["tasks"][0]["own"]["token"].as_u64().expect("its token");
+    assert_eq!(shown(&fleet, first)["voters"].as_array().map(Vec::len), Some(3));
+    let heir = (first + 1) % 3;
+    assert_eq!(fleet.call(heir, "POST", "/-/leases/sweep/release").expect("an answer").0, 409, "not its");
+    assert_eq!(fleet.call(first, "POST", "/-/leases/nothing/release").expect("an answer").0, 409);
+    assert_eq!(fleet.call(first, "POST", "/-/leases/sweep/hand/x").expect("an answer").0, 400);
+    assert_eq!(fleet.call(first, "GET", "/-/leases/sweep/release").expect("an answer").0, 405);
+    assert_eq!(fleet.call(first, "POST", &format!("/-/leases/sweep/hand/{heir}")).expect("an answer").0, 200);
+    until(&fleet, &|fleet| holder(fleet, first) == Some(heir as u64));
+    assert!(shown(&fleet, heir)["tasks"][0]["own"]["token"].as_u64() > Some(token));
+    // Who is told to end gives it back first, and others need not wait for the term.
+    fleet.end(heir).expect("its end");
+    assert!(
+        fleet
+            .logs()
+            .iter()
+            .any(|(at, log)| *at == heir && log.iter().any(|line| line.contains("sweep released")))
+    );
+    drop(fleet);
+    // A key that can be guessed is refused at the start, with its place.
+    let text = operator(&folder, "short");
+    let file = folder.join("operator.cue");
+    std::fs::write(&file, text).expect("a file");
+    let checked = std::process::Command::new(PROGRAM).arg("check").arg(&file).output().expect("the program");
+    let words = String::from_utf8_lossy(&checked.stderr).into_owned();
+    assert!(!checked.status.success() && words.contains("has fewer than 16 bytes"), "{words}");
+    let _ = std::fs::remove_dir_all(&folder);
+}
+
+#[test]
+fn every_script_says_what_it_causes_and_none_is_idle() {
+    let scripts = scripts();
+    assert!(scripts.len() >= 25);
+    for script in &scripts {
+        assert!(script.steps.iter().any(|step| !matches!(step.what, Do::Wait)), "{}", script.name);
+    }
+}
--- a/crates/lab/src/leases/play.rs
+++ b/crates/lab/src/leases/play.rs
@@ -20,6 +20,8 @@
 /// The task of all scripts.
 const TASK: &str = "sweep";
 const KEY: &str = "the key of the lab's installation";
+/// Up to so many poolers there is a relay for each pair.
+const MOST_WHOLE: usize = 24;
 const LOOK: Duration = Duration::from_millis(2);
 
 type Failure = Box<dyn std::error::Error + Send + Sync>;
@@ -37,6 +39,8 @@
     pub sent: usize,
     /// The longest, in bytes.
     pub longest: usize,
+    /// Datagrams a second of the pooler that sent most and is no voter, and of all these in the mean.
+    pub rates: (f64, f64),
     /// Where script, history and logs lie, if something is wrong.
     pub kept: Option<PathBuf>,
 }
@@ -72,12 +76,14 @@
     let number = NUMBER.fetch_add(1, Ordering::Relaxed);
     let folder = std::env::temp_dir().join(format!("linnetdeal-leases-{}-{number}", std::process::id()));
     std::fs::create_dir_all(&folder)?;
+    // A relay for each pair of a large fleet would need more sockets than there are; all letters are to or from voters.
+    let (large, voters) = (script.poolers > MOST_WHOLE, script.voters.clone());
     let spec = Spec {
         program: program.to_owned(),
         count: script.poolers,
         seed,
         known: json!({"generation": 1, "reset": true, "instances": []}),
-        between: |_, _| true,
+        between: Box::new(move |from, to| !large || voters.contains(&from) || voters.contains(&to)),
     };
     let fleet = Fleet::lay(spec)?;
     let gate = Gate::start(fleet.history.clone(), script.gate)?;
@@ -229,7 +235,9 @@
             }
             Do::Wait => std::thread::sleep(step.lasts),
         }
-        self.same = whom;
+        if !matches!(step.what, Do::Wait | Do::Noise | Do::Heal) {
+            self.same = whom;
+        }
         match step.then {
             Then::Nothing => {}
             Then::Takeover => match self.wait_for(mark, PATIENCE, |token| token > before) {
@@ -339,6 +347,12 @@
         self.outcome.verdict = audit(&records);
         self.outcome.sent = self.fleet.relay.passed.sent.load(Ordering::Relaxed);
         self.outcome.longest = self.fleet.relay.passed.longest.load(Ordering::Relaxed);
+        let lasted = self.fleet.history.now() as f64 / 1e6;
+        let by = self.fleet.relay.passed.by();
+        let others = (0..self.script.poolers).filter(|at| !self.script.voters.contains(at));
+        let rates: Vec<f64> = others.map(|at| by.get(&at).copied().unwrap_or(0) as f64 / lasted).collect();
+        let mean = rates.iter().sum::<f64>() / rates.len().max(1) as f64;
+        self.outcome.rates = (rates.iter().copied().fold(0.0, f64::max), mean);
         if self.outcome.is_well(self.script) {
             let _ = std::fs::remove_dir_all(&self.folder);
             return self.outcome;
--- a/crates/lab/src/leases/proof.rs
+++ b/crates/lab/src/leases/proof.rs
@@ -14,6 +14,9 @@
 /// Threads of a model check.
 const THREADS: usize = 6;
 
+/// States generated in one check of the whole proof, at most.
+const MOST_STATES: usize = 12_000_000;
+
 /// What is to be played.
 pub struct Wanted {
     /// The folder of the scripts.
@@ -96,6 +99,40 @@
         whole.longest = whole.longest.max(outcome.longest);
         takeovers.extend(outcome.takeovers);
     }
+    if wanted.only.is_some() {
+        let (started, ended) = process::count();
+        say(&json!({"scripts": plays.len(), "takeovers": takeovers.len(), "overlapping_acts": overlapping,
+            "takeover_p99_terms": rounded(quantile(&mut takeovers, 0.99)), "leaks": started - ended}));
+        return Ok(well && started == ended);
+    }
+    let (mut of_fleet, mut rates) = (0, (0.0, 0.0));
+    for mut script in Script::folder(&wanted.folder.join("large"))? {
+        script.poolers = wanted.fleet.max(script.voters.len());
+        let outcome = play(&script, script.seed, &wanted.program)?;
+        let mut own = outcome.takeovers.clone();
+        say(&format!(
+            "{:<22} {} processes, acts {}, takeovers {}, most {:.2} terms, datagrams a second of a pooler that is no voter: most {:.2}, mean {:.2}  {}",
+            script.name,
+            script.poolers,
+            outcome.verdict.acts,
+            outcome.takeovers.len(),
+            quantile(&mut own, 1.0),
+            outcome.rates.0,
+            outcome.rates.1,
+            outcome.missed.join("; ")
+        ));
+        well &= outcome.is_well(&script);
+        let of = &outcome.verdict;
+        unsafe_acts += of.late_acts;
+        overlapping += of.overlapping_acts;
+        let_through += of.old_tokens_let_through;
+        whole.verdict.tokens_went_back += of.tokens_went_back + of.tokens_shared;
+        whole.longest = whole.longest.max(outcome.longest);
+        takeovers.extend(outcome.takeovers);
+        (of_fleet, rates) = (script.poolers, outcome.rates);
+    }
+    let modelled = model(MOST_STATES, &say)?;
+    well &= modelled.well;
     let (started, ended) = process::count();
     say(&json!({"processes": processes, "scripts": plays.len(), "acts": whole.verdict.acts,
         "takeovers": takeovers.len(), "overlapping_acts": overlapping,
@@ -103,6 +140,8 @@
         "tokens_went_back": whole.verdict.tokens_went_back,
         "takeover_p50_terms": rounded(quantile(&mut takeovers, 0.5)),
         "takeover_p99_terms": rounded(quantile(&mut takeovers, 0.99)),
+        "mutants": modelled.mutants, "mutants_found": modelled.found, "states_checked": modelled.states,
+        "fleet": of_fleet, "datagrams_per_s_per_pooler": rounded(rates.0), "datagrams_per_s_mean": rounded(rates.1),
         "bytes_max": whole.longest, "started": started, "leaks": started - ended}));
     Ok(well && started == ended)
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -82,10 +82,10 @@
         #[arg(long)]
         only: Option<String>,
         /// How often each script is played, each time with another seed.
-        #[arg(long, default_value_t = 8)]
+        #[arg(long, default_value_t = 10)]
         times: u64,
         /// Scripts that are played at the same time.
-        #[arg(long, default_value_t = 6)]
+        #[arg(long, default_value_t = 10)]
         side_by_side: usize,
         /// Processes of the large fleet.
         #[arg(long, default_value_t = 300)]
--- a/crates/lab/src/processes/fleet.rs
+++ b/crates/lab/src/processes/fleet.rs
@@ -23,7 +23,7 @@
     /// The list of servers as last held.
     pub known: Value,
     /// Between whom a relay stands.
-    pub between: fn(usize, usize) -> bool,
+    pub between: Box<dyn Fn(usize, usize) -> bool + Send>,
 }
 
 /// One pooler's place: its name and addresses stay over restarts.
@@ -89,7 +89,7 @@
             held.push((peers, twin, operator));
         }
         let listen: Vec<_> = places.iter().map(|place| [place.peer_listen, place.twin_listen]).collect();
-        let relay = Relay::start(&listen, spec.seed, spec.between)?;
+        let relay = Relay::start(&listen, spec.seed, &spec.between)?;
         drop(held);
         Ok(Self { spec, places, relay, history: History::default(), logs: Vec::new() })
     }
--- a/scenarios/leases/drift-beyond.cue
+++ b/scenarios/leases/drift-beyond.cue
@@ -6,6 +6,7 @@
 rounds: 3
 steps: [
 	{do: "start", who: "3", bend: "rate=0.5"},
+	{do: "wait", lasts: "900ms"},
 	{do: "hand", to: "3"},
 	{do: "wait", lasts: "500ms"},
 	{do: "cut", who: "3", then: "takeover"},
--- a/scenarios/leases/late-answers.cue
+++ b/scenarios/leases/late-answers.cue
@@ -7,6 +7,9 @@
 	{do: "noise", late: 600},
 	{do: "kill"},
 	{do: "wait", lasts: "1500ms"},
-	{do: "noise", then: "takeover"},
+	{do: "noise"},
+	{do: "start", who: "same"},
+	{do: "wait", lasts: "900ms"},
+	{do: "kill", then: "takeover"},
 	{do: "start", who: "same"},
 ]
