Leases: one pooler a group asks members for their positions, and tells the others

Change: 'positions' in the operator's leases; tasks positions/GROUP are found from the list; who holds one asks its members, and all others take what he tells as reports, only where members check what they are sent, so that a lie costs a miss and no stale read. The words need no token: what was true of a position stays true.

--- a/crates/coordination/src/lease/message.rs
+++ b/crates/coordination/src/lease/message.rs
@@ -16,8 +16,11 @@
 const HEADER: usize = 28;
 const CODE: usize = 16;
 const ENTRY: usize = 26;
+const POSITION: usize = 13;
 /// Tasks that one datagram tells of.
 const MOST_SEEN: usize = (LONGEST - HEADER - CODE - 6) / ENTRY;
+/// Positions that one datagram tells of.
+const MOST_POSITIONS: usize = (LONGEST - HEADER - CODE - 5) / POSITION;
 /// Stands for nobody.
 const NOBODY: u16 = u16::MAX;
 
@@ -137,6 +140,13 @@
         /// Tasks with their holders.
         tasks: Vec<Seen>,
     },
+    /// Whoever holds the task has asked members of the fleet for their positions.
+    Positions {
+        /// The task.
+        task: TaskId,
+        /// What they said.
+        positions: Vec<Position>,
+    },
     /// You are to have the task that I have just released.
     Offer {
         /// The task.
@@ -146,12 +156,26 @@
     },
 }
 
+/// What a member said of itself. A position only grows: it is no less at any later time, so that this is true however late it
+/// comes, if it was true.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Position {
+    /// What stands for the member's id.
+    pub member: TaskId,
+    /// Its position, in microseconds since 1970.
+    pub position: i64,
+    /// It called itself the primary.
+    pub primary: bool,
+}
+
 /// A task with its holder.
 pub type Seen = (TaskId, Holder);
 
 impl Body {
     /// How many tasks fit into one answer.
     pub const MOST_SEEN: usize = MOST_SEEN;
+    /// How many positions do.
+    pub const MOST_POSITIONS: usize = MOST_POSITIONS;
 }
 
 /// A datagram.
@@ -237,6 +261,15 @@
                 put_holder(&mut out, Some(*holder));
             }
         }
+        Body::Positions { task, positions } => {
+            out.push(8);
+            out.extend(task.0.to_be_bytes());
+            for of in positions.iter().take(MOST_POSITIONS) {
+                out.extend(of.member.0.to_be_bytes());
+                out.extend(of.position.to_be_bytes());
+                out.push(u8::from(of.primary));
+            }
+        }
         Body::Offer { task, token } => {
             out.push(7);
             out.extend(task.0.to_be_bytes());
@@ -355,6 +388,15 @@
                 }
                 Body::Seen { round, more, tasks }
             }
+            8 => {
+                let task = self.task()?;
+                let mut positions = Vec::new();
+                while !self.0.is_empty() {
+                    let (member, position) = (self.task()?, i64::from_be_bytes(self.take()?));
+                    positions.push(Position { member, position, primary: self.flag()? });
+                }
+                Body::Positions { task, positions }
+            }
             7 => Body::Offer { task: self.task()?, token: self.token()? },
             _ => return None,
         })
--- a/crates/coordination/src/lease/node.rs
+++ b/crates/coordination/src/lease/node.rs
@@ -1,8 +1,8 @@
 //! All of one pooler: its vote if it has one, its claims, what it watches, and the letters for these. Datagrams and times
 //! come in, datagrams and the time of the next call go out.
 
-use super::message::{Body, Key, Letter, Refused, Seen, open, seal};
-use super::{Answer, Claimant, Council, Holder, Rules, Stage, Step, TaskId, Token, Voter, Who};
+use super::message::{Body, Key, Letter, Position, Refused, Seen, open, seal};
+use super::{Answer, Claimant, Council, Holder, MOST_TASKS, Rules, Stage, Step, TaskId, Token, Voter, Who};
 use linnetdeal_core::{Span, Time};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
@@ -43,6 +43,8 @@
     pub site: String,
     /// The version of the set of voters; unlike ones don't talk.
     pub version: u32,
+    /// How many poolers there are.
+    pub fleet: u16,
     /// The voters.
     pub voters: BTreeSet<u16>,
     /// Sets that other processes may still go by.
@@ -108,6 +110,23 @@
     offered: Time,
 }
 
+impl<R: Rules> Task<R> {
+    fn new((now, me, drift): (Time, Who, u16), rng: &mut ChaCha8Rng, of: TaskSetup) -> Self {
+        Self {
+            claimant: Claimant::new(me, of.term, drift),
+            due: now + Span(part(rng, of.term.0 / 2)),
+            sent: 0,
+            pause: Span(of.term.0 / 8),
+            known: None,
+            highest: Token(0),
+            offered: now,
+            term: of.term,
+            wanted: of.wanted,
+            name: of.name,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Life {
     life: u64,
@@ -189,6 +208,10 @@
     unanswered: u32,
     /// What is for this pooler itself.
     own: VecDeque<Body>,
+    /// What holders have told of members.
+    positions: Vec<Position>,
+    fleet: u16,
+    drift: u16,
     out: Vec<(u16, Vec<u8>)>,
     notes: Vec<Note>,
     noted: BTreeSet<Note>,
@@ -203,23 +226,9 @@
         let voters = council.asked();
         let shortest = setup.tasks.iter().map(|task| task.term).min().unwrap_or(setup.longest);
         let site = format!("{}\0{}\0{}", setup.site, setup.longest.0, setup.drift);
-        let tasks = setup.tasks.into_iter().map(|task| {
-            let claimant = Claimant::new(setup.me, task.term, setup.drift);
-            let due = now + Span(part(&mut rng, task.term.0 / 2));
-            let task = Task {
-                term: task.term,
-                wanted: task.wanted,
-                claimant,
-                due,
-                sent: 0,
-                pause: Span(task.term.0 / 8),
-                known: None,
-                highest: Token(0),
-                offered: now,
-                name: task.name,
-            };
-            (TaskId::of(&task.name), task)
-        });
+        let of = (now, setup.me, setup.drift);
+        let tasks =
+            setup.tasks.into_iter().map(|task| (TaskId::of(&task.name), Task::new(of, &mut rng, task)));
         let tasks = tasks.collect();
         Self {
             voter: voters.contains(&setup.me.number).then(|| Voter::new(now, setup.longest, setup.wall)),
@@ -240,6 +249,9 @@
             look_pause: Span(shortest.0 / 8),
             unanswered: 0,
             own: VecDeque::new(),
+            positions: Vec::new(),
+            fleet: setup.fleet,
+            drift: setup.drift,
             out: Vec::new(),
             notes: Vec::new(),
             noted: BTreeSet::new(),
@@ -269,6 +281,38 @@
         self.tasks.values().map(|task| task.due).fold(self.look_due, Time::min)
     }
 
+    /// One more task, found while serving; false where there are as many as a voter remembers.
+    pub fn add(&mut self, now: Time, task: TaskSetup) -> bool {
+        let id = TaskId::of(&task.name);
+        if self.tasks.contains_key(&id) {
+            return true;
+        }
+        if self.tasks.len() >= MOST_TASKS || task.term > self.longest {
+            return false;
+        }
+        self.shortest = self.shortest.min(task.term);
+        self.tasks.insert(id, Task::new((now, self.me, self.drift), &mut self.rng, task));
+        true
+    }
+
+    /// Tells all other poolers what members said, as long as the task is this pooler's.
+    pub fn tell(&mut self, now: Time, task: TaskId, positions: &[Position]) {
+        if self.holds(now, task).is_none() {
+            return;
+        }
+        for part in positions.chunks(Body::MOST_POSITIONS) {
+            let me = self.me.number;
+            for to in (0..self.fleet).filter(|to| *to != me) {
+                self.post(to, Body::Positions { task, positions: part.to_vec() });
+            }
+        }
+    }
+
+    /// What holders have told of members since.
+    pub fn take_positions(&mut self) -> Vec<Position> {
+        std::mem::take(&mut self.positions)
+    }
+
     /// Takes part in a task that this pooler would leave to others.
     pub fn acquire(&mut self, now: Time, task: TaskId) {
         if let Some(task) = self.tasks.get_mut(&task) {
@@ -561,6 +605,12 @@
                 self.post(sender.number, Body::Seen { round, more, tasks });
             }
             Body::Seen { round, more, tasks } => self.seen(now, sender.number, round, more, &tasks),
+            // Whoever held the task when they were asked: what was true of a position stays true.
+            Body::Positions { task, positions } => {
+                if self.tasks.contains_key(&task) && self.positions.len() < MOST_NOTES {
+                    self.positions.extend(positions);
+                }
+            }
             Body::Offer { task, token } => {
                 self.hear(now, task, token);
                 let Some(known) = self.tasks.get_mut(&task) else { return };
--- a/crates/coordination/tests/lease.rs
+++ b/crates/coordination/tests/lease.rs
@@ -151,6 +151,7 @@
     LeaseSetup {
         me: who(number),
         seed: 5,
+        fleet: 10,
         site: "here".into(),
         version: 3,
         voters: [0, 1, 2].into(),
@@ -279,7 +280,7 @@
 proptest! {
     #[test]
     fn every_letter_is_short_and_reads_as_written(
-        task: u32, round: u32, token: u64, number in 0u16..300, life: u64, left in 0i64..60_000, kind in 0u8..7, some: bool, count in 0usize..12,
+        task: u32, round: u32, token: u64, number in 0u16..300, life: u64, left in 0i64..60_000, kind in 0u8..8, some: bool, count in 0usize..12,
     ) {
         let (task, token, left) = (TaskId(task), Token(token), Span::millis(left));
         let holder = Holder { who: Who { number, life }, token, left };
@@ -290,6 +291,10 @@
             3 => Body::Release { task, token, heir: some.then_some((number, left)) },
             4 => Body::Look { round, after: Some(task) },
             5 => Body::Seen { round, more: some, tasks: vec![(task, holder); count.min(Body::MOST_SEEN)] },
+            6 => {
+                let said = Position { member: task, position: life as i64, primary: some };
+                Body::Positions { task, positions: vec![said; count.min(Body::MOST_POSITIONS)] }
+            }
             _ => Body::Offer { task, token },
         };
         let letter = Letter { site: 1, version: 2, sender: holder.who, number: token.0, body };
--- a/crates/daemon/tests/leases.rs
+++ b/crates/daemon/tests/leases.rs
@@ -1,15 +1,20 @@
 //! Leases among processes of the program, with faults between them: all scripts once, with fixed seeds.
 
-use linnetdeal_lab::at_once;
+use linnetdeal_lab::family::Family;
 use linnetdeal_lab::leases::play::play;
 use linnetdeal_lab::leases::script::{Do, Script};
 use linnetdeal_lab::processes::fleet::{Fleet, Spec};
 use linnetdeal_lab::processes::process;
+use linnetdeal_lab::{at_once, lock};
 use serde_json::{Value, json};
+use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_linnetdeal");
+/// Tests that start processes run one after another: terms are short, and a machine that is crowded makes them look shorter.
+static ONE: Mutex<()> = Mutex::new(());
 /// Scripts that run side by side; on four cores each process gets what it needs.
 const AT_ONCE: usize = 6;
 
@@ -20,6 +25,7 @@
 
 #[test]
 fn two_holders_never_act_at_once_whatever_fails() {
+    let _one = lock(&ONE);
     let scripts = scripts();
     let outcomes = at_once(&scripts, AT_ONCE, |script| play(script, script.seed, Path::new(PROGRAM)));
     let mut wrong = Vec::new();
@@ -36,6 +42,7 @@
 /// What stays in force where clocks run beyond what was stated is the gate alone: without it, older tokens get through.
 #[test]
 fn without_its_gate_the_worst_script_is_found_out() {
+    let _one = lock(&ONE);
     let mut script = scripts().into_iter().find(|script| script.name == "drift-beyond").expect("the script");
     script.gate = false;
     let let_through = (1..=3).any(|seed| {
@@ -57,6 +64,7 @@
 
 #[test]
 fn the_second_address_shows_leases_and_moves_them() {
+    let _one = lock(&ONE);
     let folder = std::env::temp_dir().join(format!("linnetdeal-leases-test-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder");
     let text = operator(&folder, "a key that is long enough");
@@ -124,3 +132,62 @@
         assert!(script.steps.iter().any(|step| !matches!(step.what, Do::Wait)), "{}", script.name);
     }
 }
+
+#[test]
+fn one_pooler_a_group_asks_members_and_the_others_hear_of_it() {
+    let _one = lock(&ONE);
+    let folder = std::env::temp_dir().join(format!("linnetdeal-positions-test-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let text = operator(&folder, "a key that is long enough").replace(
+        "tasks: [{name: \"sweep\", term: \"500ms\"}]",
+        "positions: {term: \"500ms\", every: \"200ms\"}",
+    );
+    let family = Family::start(3, std::net::Ipv4Addr::LOCALHOST.into()).expect("a family");
+    let entry = |(at, address): (usize, &SocketAddr)| {
+        json!({"instanceId": format!("s{at}"), "hostPort": address.to_string(), "zone": "a", "machineType": "m",
+               "cell": 1, "lifecycle": "up", "weight": 1.0, "startedAtMs": 0})
+    };
+    let list: Vec<Value> = family.addresses.iter().enumerate().map(entry).collect();
+    let known = json!({"generation": 1, "reset": true, "instances": list});
+    let spec = Spec { program: PROGRAM.into(), count: 5, seed: 6, known, between: Box::new(|_, _| true) };
+    let mut fleet = Fleet::lay(spec).expect("a fleet");
+    fleet.settings["FamilyInfo"]["WhenBehind"] = "bounce".into();
+    for at in 0..5 {
+        fleet.start(at, &text, &[]).expect("a start");
+    }
+    for at in 0..5 {
+        fleet.ready(at).expect("a pooler");
+    }
+    let until = |words: &str, what: &mut dyn FnMut() -> bool| {
+        let end = Instant::now() + process::PATIENCE;
+        while !what() {
+            assert!(Instant::now() < end, "in vain: {words}");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    };
+    // Three members are asked five times a second by one, and would be five times as often if each asked.
+    let asked_by_one = |family: &Family| {
+        let (began, before) = (Instant::now(), family.probes());
+        until("probes", &mut || family.probes() >= before + 45);
+        assert!(began.elapsed() > Duration::from_millis(1_500), "45 probes in {:?}", began.elapsed());
+    };
+    until("a first probe", &mut || family.probes() > 0);
+    asked_by_one(&family);
+    let holder = (0..5).find(|at| {
+        let (_, body) = fleet.call(*at, "GET", "/-/leases").expect("an answer");
+        serde_json::from_str::<Value>(&body).expect("JSON")["tasks"][0]["own"].is_object()
+    });
+    let holder = holder.expect("somebody holds it");
+    for at in (0..5).filter(|at| *at != holder) {
+        until("hearsay", &mut || {
+            fleet.signal(at, "USR1").expect("a signal");
+            let log = fleet.log(at);
+            let heard = log.iter().filter_map(|line| line.split_once("positions_heard="));
+            heard.filter_map(|(_, count)| count.trim().parse::<u64>().ok()).any(|count| count >= 10)
+        });
+    }
+    fleet.kill(holder);
+    asked_by_one(&family);
+    drop(fleet);
+    let _ = std::fs::remove_dir_all(&folder);
+}
--- a/crates/lab/src/family.rs
+++ b/crates/lab/src/family.rs
@@ -85,6 +85,8 @@
     last_commit: i64,
     /// One that was the primary, and says that it still is; its position stands still.
     claims: Option<usize>,
+    /// Probes that came.
+    probes: usize,
     /// Statements that came, whole: at which box, when, and whether it was a write.
     sent: Vec<(usize, Instant, bool)>,
     /// A box that started anew: which, when, its share of capacity then, and after how long it is warm; and when it will
@@ -204,6 +206,12 @@
         lock(&self.state).sent.clone()
     }
 
+    /// How many probes came.
+    #[must_use]
+    pub fn probes(&self) -> usize {
+        lock(&self.state).probes
+    }
+
     /// The rows that count: how often each ran, of those that a replica has.
     #[must_use]
     pub fn rows(&self) -> HashMap<String, u32> {
@@ -350,6 +358,7 @@
             (state.primary == Some(at) || claims, claims, state.draining == Some(at), state.position(at))
         };
         if statement.starts_with("SHOW") {
+            lock(&self.state).probes += 1;
             let role = u8::from(primary && !draining);
             let value = format!("x0={:.3},x1={role}", position as f64 / 1_000.0);
             row(out, value.as_bytes(), primary, position);
--- a/crates/lab/src/processes/fleet.rs
+++ b/crates/lab/src/processes/fleet.rs
@@ -49,6 +49,8 @@
     pub relay: Relay,
     /// What has happened.
     pub history: History,
+    /// The settings of all who start from now on; the fleet's size, numbers and talk are put in.
+    pub settings: Value,
     /// Logs of processes that have ended, and of all at the end.
     logs: Vec<(usize, Vec<String>)>,
 }
@@ -91,7 +93,7 @@
         let listen: Vec<_> = places.iter().map(|place| [place.peer_listen, place.twin_listen]).collect();
         let relay = Relay::start(&listen, spec.seed, &spec.between)?;
         drop(held);
-        Ok(Self { spec, places, relay, history: History::default(), logs: Vec::new() })
+        Ok(Self { spec, places, relay, history: History::default(), settings: settings(), logs: Vec::new() })
     }
 
     /// How many poolers there are.
@@ -155,7 +157,7 @@
             .collect();
         let place = &mut self.places[at];
         place.starts += 1;
-        let mut settings = settings();
+        let mut settings = self.settings.clone();
         settings["FleetSize"] = count.into();
         settings["Rank"] = at.into();
         settings["Limits"]["Peers"] = true.into();
--- a/crates/net/src/leases.rs
+++ b/crates/net/src/leases.rs
@@ -4,7 +4,11 @@
 use crate::clock;
 use crate::config::duration;
 use crate::counters::Count;
+use crate::driver::Driver;
 use crate::flag::Flag;
+use crate::members::Members;
+use crate::probes::probe;
+use crate::upstream::Pool;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use event_listener::Event;
@@ -12,7 +16,10 @@
 use http_body_util::Empty;
 use hyper::body::Bytes;
 use hyper::{Request, Response, StatusCode};
-use linnetdeal_coordination::lease::{LeaseSetup, Node, Note, Refused, Sound, TaskId, Token, Who};
+use linnetdeal_coordination::lease::{
+    LeaseSetup, Node, Note, Position, Refused, Sound, TaskId, TaskSetup, Token, Who,
+};
+use linnetdeal_core::{Event as News, Field, GroupId, ListState, MemberId, Span, Verdict};
 use serde_json::json;
 use smol_hyper::rt::FuturesIo;
 use std::cell::RefCell;
@@ -37,6 +44,56 @@
     pub setup: LeaseSetup,
     /// What holders call.
     pub calls: Vec<Call>,
+    /// Whether one pooler a group asks members for their positions: for which term, and how often.
+    pub positions: Option<(Duration, Duration)>,
+}
+
+/// One pooler a group asks its members, and tells the others.
+pub(crate) struct Positions {
+    pub(crate) term: Duration,
+    pub(crate) every: Duration,
+    /// The fields of a report, in their order.
+    pub(crate) report: Vec<Field>,
+    pub(crate) executor: Rc<LocalExecutor<'static>>,
+    pub(crate) driver: Rc<Driver>,
+    pub(crate) pool: Rc<Pool>,
+    pub(crate) members: Rc<Members>,
+}
+
+impl Positions {
+    fn at(&self, field: Field) -> Option<usize> {
+        self.report.iter().position(|of| *of == field)
+    }
+
+    /// What a holder has told, as the report of its member. A position only grows, so that it is true however late it comes;
+    /// and were it a lie, a member that checks what it is sent turns it away.
+    fn hear(&self, told: &[Position]) {
+        if told.is_empty() {
+            return;
+        }
+        let members = self.members.all();
+        for of in told {
+            let member = members.iter().map(|(id, _)| id).find(|id| TaskId::of(&id.0) == of.member);
+            let (Some(member), Some(at)) = (member, self.at(Field::Position)) else { continue };
+            let mut report = vec![f64::NAN; self.report.len()];
+            report[at] = of.position as f64 / 1e6;
+            if let Some(at) = self.at(Field::Primary) {
+                report[at] = f64::from(u8::from(of.primary));
+            }
+            let (member, report) = (member.clone(), Some(report));
+            self.driver.feed(News::Probed { member, verdict: Verdict::Ok, took: Span(0), report });
+        }
+    }
+
+    /// What a member has said, to be told.
+    fn told(&self, member: &MemberId, report: &[f64]) -> Option<Position> {
+        let position = *report.get(self.at(Field::Position)?)?;
+        let primary = self.at(Field::Primary).and_then(|at| report.get(at)).is_some_and(|role| *role >= 0.5);
+        // Rounded down: no position is told for later than it was.
+        let told =
+            Position { member: TaskId::of(&member.0), position: (position * 1e6).floor() as i64, primary };
+        position.is_finite().then_some(told)
+    }
 }
 
 /// A call that a task's holder makes, again and again.
@@ -70,7 +127,7 @@
     node: RefCell<Node<Sound>>,
     me: Who,
     /// Names by what stands for them.
-    names: BTreeMap<TaskId, String>,
+    names: RefCell<BTreeMap<TaskId, String>>,
     letters: RefCell<VecDeque<(u16, Vec<u8>)>>,
     waiting: Event,
     /// Something has changed.
@@ -81,6 +138,9 @@
     refused: [Count; 7],
     acts: Count,
     turned_away: Count,
+    told: Count,
+    heard_of: Count,
+    positions: RefCell<Option<Rc<Positions>>>,
 }
 
 impl Leases {
@@ -91,7 +151,7 @@
         Self {
             me: setup.me,
             node: RefCell::new(Node::new(clock::steady(), setup)),
-            names,
+            names: RefCell::new(names),
             letters: RefCell::default(),
             waiting: Event::new(),
             changed: Event::new(),
@@ -101,6 +161,9 @@
             refused: Default::default(),
             acts: Count::default(),
             turned_away: Count::default(),
+            told: Count::default(),
+            heard_of: Count::default(),
+            positions: RefCell::default(),
         }
     }
 
@@ -118,6 +181,12 @@
             Ok(()) => self.heard.add(),
             Err(why) => self.refused[reason(why)].add(),
         }
+        let told = self.node.borrow_mut().take_positions();
+        let positions = self.positions.borrow().clone();
+        if let Some(positions) = positions {
+            told.iter().for_each(|_| self.heard_of.add());
+            positions.hear(&told);
+        }
         self.flush();
     }
 
@@ -203,7 +272,7 @@
     /// When there is no such task, it is not this pooler's, or there is no such pooler; in words.
     pub(crate) fn by_hand(&self, name: &str, what: &str, heir: Option<u16>) -> Result<String, String> {
         let task = TaskId::of(name);
-        if !self.names.contains_key(&task) {
+        if !self.names.borrow().contains_key(&task) {
             return Err(format!("no task is called {name}"));
         }
         let now = clock::steady();
@@ -220,6 +289,54 @@
         said
     }
 
+    /// Asks the members of each group whose task is this pooler's, for ever, and tells the others what they say.
+    pub(crate) async fn ask_members(self: Rc<Self>, positions: Rc<Positions>) {
+        *self.positions.borrow_mut() = Some(positions.clone());
+        loop {
+            Timer::after(positions.every).await;
+            let mut groups: BTreeMap<GroupId, Vec<MemberId>> = BTreeMap::new();
+            for (id, known) in positions.members.all() {
+                if known.state == ListState::Healthy {
+                    groups.entry(known.group).or_default().push(id);
+                }
+            }
+            for (group, members) in groups {
+                let name = format!("positions/{}", group.0);
+                let (task, term) = (TaskId::of(&name), crate::config::span_of(positions.term));
+                let setup = TaskSetup { name: name.clone(), term, wanted: true };
+                if !self.names.borrow().contains_key(&task) {
+                    if !self.node.borrow_mut().add(clock::steady(), setup) {
+                        continue;
+                    }
+                    self.names.borrow_mut().insert(task, name);
+                }
+                if self.holds(task).is_some() {
+                    let own = self.clone();
+                    let (asked, executor) = (positions.clone(), positions.executor.clone());
+                    executor.spawn(async move { own.ask_group(&asked, task, members).await }).detach();
+                }
+            }
+        }
+    }
+
+    async fn ask_group(&self, positions: &Rc<Positions>, task: TaskId, members: Vec<MemberId>) {
+        let ask = |member: MemberId| {
+            let of = positions.clone();
+            positions.executor.spawn(async move {
+                let report = probe(&of.driver, &of.pool, member.clone()).await;
+                report.and_then(|report| of.told(&member, &report))
+            })
+        };
+        let asked: Vec<_> = members.into_iter().map(ask).collect();
+        let mut told = Vec::new();
+        for one in asked {
+            told.extend(one.await);
+        }
+        told.iter().for_each(|_| self.told.add());
+        self.node.borrow_mut().tell(clock::steady(), task, &told);
+        self.flush();
+    }
+
     /// Calls an address as long as the task is this pooler's, for ever.
     pub(crate) async fn acts(self: Rc<Self>, executor: Rc<LocalExecutor<'static>>, call: Call) {
         let task = TaskId::of(&call.task);
@@ -317,7 +434,8 @@
         }
         drop(waiting);
         for note in notes {
-            let name = |task: TaskId| self.names.get(&task).map_or("", String::as_str);
+            let names = self.names.borrow();
+            let name = |task: TaskId| names.get(&task).map_or("", String::as_str);
             match note {
                 Note::Gained(task, token) => {
                     tracing::info!("leases: {} gained, token {}", name(task), token.0)
@@ -363,7 +481,8 @@
         for (reason, count) in reasons.iter().zip(&self.refused) {
             write!(f, " refused_{reason}={count}")?;
         }
-        write!(f, " acts={} turned_away={}", self.acts, self.turned_away)
+        write!(f, " acts={} turned_away={}", self.acts, self.turned_away)?;
+        write!(f, " positions_told={} positions_heard={}", self.told, self.heard_of)
     }
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -37,8 +37,8 @@
 use futures_lite::future::or;
 use leases::{Leases, Wanted};
 use life::Life;
-use linnetdeal_core::Router;
 use linnetdeal_core::backoff::Backoff;
+use linnetdeal_core::{Checks, Router};
 use members::{Feed, Members};
 use seats::Seats;
 use std::cell::RefCell;
@@ -95,6 +95,7 @@
         classes.set(&config.settings.classes, present, config.host.longest_deadline);
         tracing::debug!(target: "settings", "{:?}", config.settings);
         let backoff = Backoff::new(config.seed, config.settings.fleet);
+        let (checks, report) = (config.settings.checks != Checks::None, config.settings.report.clone());
         let router = Router::new(config.seed, config.settings);
         let (tells, told) = async_channel::bounded(peers::MOST_WAITING);
         let driver = Rc::new(Driver::new(router, counters.clone(), probes, tells));
@@ -109,6 +110,7 @@
         let to_servers = if handed.is_some() { most_upstream / 2 } else { most_upstream };
         let pool = Rc::new(Pool::new(members.clone(), counters.clone(), config.host, to_servers));
         let source = Rc::new(Source::new(config.discovery));
+        let known = members.clone();
         let feed = Feed::new(members, driver.clone());
         let seats = Seats::new(rest - most_upstream - spare_clients, spare_clients, sockets / 4);
         let seats = Rc::new(seats);
@@ -126,21 +128,29 @@
         });
         shown.add(doubts.clone());
         shown.add(driver.clone());
-        let (leases, calls) = match leases {
-            Some(wanted) if config.peers.is_some() => {
-                (Some(Rc::new(Leases::new(wanted.setup))), wanted.calls)
+        if leases.is_some() && config.peers.is_none() {
+            tracing::warn!("leases are off: the platform lets poolers not talk, or names not all of them");
+        }
+        let leases = leases.filter(|_| config.peers.is_some()).map(|wanted| {
+            let leases = Rc::new(Leases::new(wanted.setup));
+            shown.add(leases.clone());
+            for call in wanted.calls {
+                executor.spawn(leases.clone().acts(executor.clone(), call)).detach();
             }
-            Some(_) => {
-                tracing::warn!(
-                    "leases are off: the platform lets poolers not talk, or names not all of them"
-                );
-                (None, Vec::new())
+            if wanted.positions.is_some() && !checks {
+                tracing::warn!("leases: members check nothing here, so that nobody is told their positions");
             }
-            None => (None, Vec::new()),
-        };
-        if let Some(leases) = &leases {
-            shown.add(leases.clone());
-        }
+            if let Some((term, every)) = wanted.positions.filter(|_| checks) {
+                let (driver, pool, members) = (driver.clone(), pool.clone(), known.clone());
+                let executor_of = executor.clone();
+                let of =
+                    leases::Positions { term, every, report, executor: executor_of, driver, pool, members };
+                executor.spawn(leases.clone().ask_members(Rc::new(of))).detach();
+            }
+            let run = leases.clone();
+            executor.spawn(async move { run.run().await }).detach();
+            leases
+        });
         let handler = signals::Handler {
             executor: executor.clone(),
             life: life.clone(),
@@ -244,12 +254,6 @@
                     std::future::pending::<()>().await;
                 }
             };
-            if let Some(leases) = leases {
-                for call in calls {
-                    executor.spawn(leases.clone().acts(executor.clone(), call)).detach();
-                }
-                executor.spawn(async move { leases.run().await }).detach();
-            }
             executor.spawn(or(talk, left)).detach();
         }
         executor.spawn(probes::run(executor.clone(), driver, pool, wanted)).detach();
--- a/crates/net/src/probes.rs
+++ b/crates/net/src/probes.rs
@@ -16,14 +16,16 @@
 ) {
     while let Ok(member) = wanted.recv().await {
         let (driver, pool) = (driver.clone(), pool.clone());
-        executor.spawn(async move { probe(&driver, &pool, member).await }).detach();
+        executor.spawn(async move { drop(probe(&driver, &pool, member).await) }).detach();
     }
 }
 
-async fn probe(driver: &Driver, pool: &Pool, member: MemberId) {
+/// Asks a member once, and hands what it says to the module.
+pub(crate) async fn probe(driver: &Driver, pool: &Pool, member: MemberId) -> Option<Vec<f64>> {
     let sent = driver.clock.now();
     driver.counters.probes.add();
     let (verdict, report) = pool.probe(&member).await;
     let took = driver.clock.now() - sent;
-    driver.feed(Event::Probed { member, verdict, took, report });
+    driver.feed(Event::Probed { member, verdict, took, report: report.clone() });
+    report
 }
--- a/crates/operator/src/schema.cue
+++ b/crates/operator/src/schema.cue
@@ -141,7 +141,13 @@
 	longest: #Duration | *"10s"
 	// Files with a key in their first line, 16 bytes or more; the first signs, all are believed.
 	keys!: [...#Path]
-	tasks!: [...#Task]
+	tasks: [...#Task] | *[]
+	// One pooler a group asks its members for position and role, and tells all others. It counts only where members check what
+	// they are sent.
+	positions?: {
+		term:  #Duration | *"3s"
+		every: #Duration | *"500ms"
+	}
 }
 
 registry?: #Registry
--- a/crates/operator/src/typed/leases.rs
+++ b/crates/operator/src/typed/leases.rs
@@ -26,6 +26,8 @@
     pub keys: Vec<PathBuf>,
     /// The tasks.
     pub tasks: Vec<Task>,
+    /// Whether one pooler a group asks members for their positions: for which term, and how often.
+    pub positions: Option<(Duration, Duration)>,
 }
 
 /// A task.
@@ -64,6 +66,13 @@
     longest: String,
     keys: Vec<PathBuf>,
     tasks: Vec<RawTask>,
+    positions: Option<RawPositions>,
+}
+
+#[derive(Deserialize)]
+struct RawPositions {
+    term: String,
+    every: String,
 }
 
 #[derive(Deserialize)]
@@ -139,6 +148,12 @@
         let candidates = raw.candidates.into_iter().collect();
         tasks.push(Task { name: raw.name, term, candidates, call });
     }
+    let positions = raw.positions.map(|raw| {
+        let term =
+            check.duration("leases.positions.term", &raw.term, (SHORTEST_TERM, longest.max(SHORTEST_TERM)));
+        let every = check.duration("leases.positions.every", &raw.every, (SHORTEST_TERM, LONGEST_TERM));
+        (term, every)
+    });
     LeaseSettings {
         site: raw.site,
         version: raw.version,
@@ -148,6 +163,7 @@
         longest,
         keys: raw.keys,
         tasks,
+        positions,
     }
 }
 
