Leases: a newer process gets the older one's tasks, and is silent from when it is heard

Need: an older process hands its leases to the newer one; that was not caused in a test. Seen by reading: a newer process of a voter starts while the older one still votes, so that a silence counted from its start is over when it gets the poolers' address, with no memory of what the older one granted until then. Seen by the new script (3 of 3 plays missed): the newer one did not look in time at what was kept for it (0.9 terms, another pooler had it). Change: silence and floor count from the opening of the address (test), which is tried 20 times a term where there are leases; then it looks at once and takes what is kept for its number. All fleets of the lab now inherit their clients' socket, and 'replace' is a step.

--- a/crates/coordination/src/lease/node.rs
+++ b/crates/coordination/src/lease/node.rs
@@ -259,6 +259,17 @@
         }
     }
 
+    /// The poolers' address is this process's from now on, and was another's until now, perhaps. `wall` is as in
+    /// [`LeaseSetup::wall`].
+    pub fn opened(&mut self, now: Time, wall: u64) {
+        if let Some(voter) = &mut self.voter {
+            voter.hush(now, self.longest, wall);
+        }
+        // Nothing that was asked until now has gone out, and the process before may have left its tasks to this one.
+        (self.look, self.unanswered, self.look_due) = (None, 0, now);
+        self.look_pause = Span(self.shortest.0 / 8);
+    }
+
     /// The token to act with now: to be asked before each act and after each wait, with a clock that is read then.
     #[must_use]
     pub fn holds(&self, now: Time, task: TaskId) -> Option<Token> {
@@ -668,7 +679,10 @@
             if after.is_some_and(|after| *id <= after) || last.is_some_and(|last| *id > last) {
                 continue;
             }
+            let mine = Who { number: self.me.number, life: 0 };
             match tasks.iter().find(|(told, _)| told == id) {
+                // It is kept for this pooler.
+                Some((_, holder)) if holder.who == mine => free.push(*id),
                 Some((_, holder)) => {
                     task.highest = task.highest.max(holder.token);
                     task.known = Some((*holder, now));
--- a/crates/coordination/src/lease/voter.rs
+++ b/crates/coordination/src/lease/voter.rs
@@ -73,9 +73,19 @@
     /// be no higher than a token that was granted within the same millisecond.
     #[must_use]
     pub fn new(now: Time, longest: Span, wall: u64) -> Self {
-        let silent_until = if R::SILENT { now + longest } else { now };
+        let mut voter =
+            Self { silent_until: now, floor: Token(0), tasks: BTreeMap::new(), rules: PhantomData };
+        voter.hush(now, longest, wall);
+        voter
+    }
+
+    /// From now on it is heard as the voter of its number. Whoever was until now, as the process whose place it takes, has
+    /// granted what this one knows nothing of, so that its silence counts from here.
+    pub fn hush(&mut self, now: Time, longest: Span, wall: u64) {
+        self.silent_until = if R::SILENT { now + longest } else { now };
         let floor = Token(wall.saturating_add(u64::try_from(longest.0 / 1_000).unwrap_or(0)));
-        Self { silent_until, floor, tasks: BTreeMap::new(), rules: PhantomData }
+        self.floor = self.floor.max(floor);
+        self.tasks.values_mut().for_each(|task| task.token = task.token.max(floor));
     }
 
     /// Whether it says nothing yet.
--- a/crates/coordination/tests/lease.rs
+++ b/crates/coordination/tests/lease.rs
@@ -240,6 +240,15 @@
     }
 }
 
+#[test]
+fn a_voters_silence_counts_from_when_its_address_is_its_own() {
+    let mut node = Node::<Sound>::new(at(0), setup(0, false));
+    assert!(node.is_silent(at(999)) && !node.is_silent(at(1_000)));
+    // The process before it has granted something until then.
+    node.opened(at(5_000), 1);
+    assert!(node.is_silent(at(5_999)) && !node.is_silent(at(6_000)));
+}
+
 #[test]
 fn a_voter_with_two_processes_does_not_count() {
     let key = key("a key of an installation");
--- a/crates/lab/src/leases/play.rs
+++ b/crates/lab/src/leases/play.rs
@@ -82,7 +82,9 @@
         program: program.to_owned(),
         count: script.poolers,
         seed,
-        known: json!({"generation": 1, "reset": true, "instances": []}),
+        // A pooler without a server is never ready; nobody asks anything of this one.
+        known: json!({"generation": 1, "reset": true, "instances": [{"instanceId": "s0", "hostPort": "127.0.0.1:1",
+            "zone": "a", "machineType": "m", "cell": 1, "lifecycle": "up", "weight": 1.0, "startedAtMs": 0}]}),
         between: Box::new(move |from, to| !large || voters.contains(&from) || voters.contains(&to)),
     };
     let fleet = Fleet::lay(spec)?;
@@ -233,6 +235,14 @@
                     self.fleet.twin(*at, &text)?;
                 }
             }
+            Do::Replace => {
+                let text = self.operator(step.version, &step.key)?;
+                for at in &whom {
+                    self.fleet.replace(*at, &text)?;
+                    // What the older one held is handed to it.
+                    heir = Some(*at).filter(|_| step.who == Whom::Holder);
+                }
+            }
             Do::Wait => std::thread::sleep(step.lasts),
         }
         if !matches!(step.what, Do::Wait | Do::Noise | Do::Heal) {
--- a/crates/lab/src/leases/script.cue
+++ b/crates/lab/src/leases/script.cue
@@ -8,7 +8,7 @@
 #Whom: =~"^([0-9]{1,3}|holder|voter|other|voters|small-side|same|all)$"
 
 #Step: {
-	do!: "start" | "kill" | "end" | "stop" | "go" | "cut" | "heal" | "noise" | "release" | "hand" | "hold-gate" | "wait" | "seize" | "twin"
+	do!: "start" | "kill" | "end" | "stop" | "go" | "cut" | "heal" | "noise" | "release" | "hand" | "hold-gate" | "wait" | "seize" | "twin" | "replace"
 	who: #Whom | *"holder"
 	// 'hand': to whom. The next act must be this pooler's, unless it is dead.
 	to: #Whom | *"other"
--- a/crates/lab/src/leases/script.rs
+++ b/crates/lab/src/leases/script.rs
@@ -75,6 +75,8 @@
     Wait,
     /// A pooler is told to want the task.
     Seize,
+    /// A newer process takes the place of one that runs, which ends.
+    Replace,
     /// A second process of the same name starts beside the first.
     Twin,
 }
--- a/crates/lab/src/processes/fleet.rs
+++ b/crates/lab/src/processes/fleet.rs
@@ -1,7 +1,7 @@
 //! A fleet of processes of the program, named, numbered and configured as the platform does.
 
 use super::history::{Event, History};
-use super::process::Process;
+use super::process::{PATIENCE, Process};
 use super::relay::Relay;
 use crate::pooler::settings;
 use serde_json::{Value, json};
@@ -10,7 +10,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How a fleet is set up.
 pub struct Spec {
@@ -31,6 +31,9 @@
     peer_listen: SocketAddr,
     operator: SocketAddr,
     process: Option<Process>,
+    /// The clients' socket, which all processes of this place inherit, and the folder that they share.
+    listener: TcpListener,
+    folder: PathBuf,
     /// Where another process of the same name listens, and that process.
     twin_listen: SocketAddr,
     twin: Option<Process>,
@@ -78,7 +81,15 @@
             let [peers, twin] = [UdpSocket::bind((address, 0))?, UdpSocket::bind((address, 0))?];
             let operator = TcpListener::bind((address, 0))?;
             let operator_at = operator.local_addr()?;
+            let folder = std::env::temp_dir().join(format!(
+                "linnetdeal-place-{}-{}",
+                address,
+                peers.local_addr()?.port()
+            ));
+            std::fs::create_dir_all(&folder)?;
             places.push(Place {
+                listener: TcpListener::bind("127.0.0.1:0")?,
+                folder,
                 peer_listen: peers.local_addr()?,
                 operator: operator_at,
                 process: None,
@@ -170,7 +181,50 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "known": self.spec.known,
             "peer_listen": listen.to_string(), "peers": peers,
             "operator": operator_at, "settings": settings});
-        Process::start(&self.spec.program, &config, Some(operator), variables)
+        if twin {
+            return Process::start(&self.spec.program, &config, Some(operator), variables);
+        }
+        let mut variables = variables.to_vec();
+        variables.push(("TMPDIR", place.folder.display().to_string()));
+        let listener = place.listener.try_clone()?;
+        Process::start_on(&self.spec.program, &config, Some(operator), &variables, Some(listener.into()))
+    }
+
+    /// Starts a newer process of a pooler's place, waits until it serves, and tells the older one to end.
+    ///
+    /// # Errors
+    ///
+    /// When the newer one does not serve, or the older one does not end.
+    pub fn replace(&mut self, at: usize, operator: &str) -> std::io::Result<()> {
+        let held = TcpListener::bind((self.places[at].operator.ip(), 0))?;
+        let own = held.local_addr()?;
+        drop(held);
+        // Its second address is new; all else stays.
+        let before = std::mem::replace(&mut self.places[at].operator, own);
+        let mut newer = self.process(at, false, operator, &[])?;
+        newer.listening()?;
+        let end = Instant::now() + PATIENCE;
+        while self.call(at, "GET", "/-/ready").map_or(0, |(status, _)| status) != 200 {
+            if Instant::now() > end {
+                self.places[at].operator = before;
+                return Err(Error::other("the newer process is never ready"));
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        self.fault(&format!("a newer process takes the place of {at}"));
+        let place = &mut self.places[at];
+        let Some(mut older) = place.process.replace(newer) else {
+            return Err(Error::other(format!("pooler {at} does not run")));
+        };
+        (place.read, place.stopped) = (0, false);
+        older.signal("TERM")?;
+        let status = older.ended()?;
+        self.logs.push((at, older.log()));
+        if status.success() {
+            Ok(())
+        } else {
+            Err(Error::other(format!("the older process ended with {status}")))
+        }
     }
 
     /// Waits until a pooler listens.
@@ -297,3 +351,9 @@
     let (task, rest) = rest.split_once(" gained, token ")?;
     Some((task.to_owned(), rest.trim().parse().ok()?))
 }
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
--- a/crates/lab/src/processes/process.rs
+++ b/crates/lab/src/processes/process.rs
@@ -4,6 +4,7 @@
 use serde_json::Value;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
@@ -47,6 +48,21 @@
         config: &Value,
         operator: Option<&str>,
         variables: &[(&str, String)],
+    ) -> std::io::Result<Self> {
+        Self::start_on(program, config, operator, variables, None)
+    }
+
+    /// Starts it with a listening socket that the platform holds, as its standard input.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be started.
+    pub fn start_on(
+        program: &Path,
+        config: &Value,
+        operator: Option<&str>,
+        variables: &[(&str, String)],
+        listener: Option<OwnedFd>,
     ) -> std::io::Result<Self> {
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
@@ -62,6 +78,9 @@
             std::fs::write(folder.join("operator.cue"), text)?;
             command.env("LINNETDEAL_OPERATOR", folder.join("operator.cue"));
         }
+        if let Some(listener) = listener {
+            command.stdin(listener).env("GW_LISTEN_FD", "0");
+        }
         command.envs(variables.iter().map(|(name, value)| (name, value)));
         let mut child = command.stderr(Stdio::piped()).spawn()?;
         STARTED.fetch_add(1, Ordering::SeqCst);
--- a/crates/net/src/leases.rs
+++ b/crates/net/src/leases.rs
@@ -173,6 +173,12 @@
         self.node.borrow().holds(clock::steady(), task)
     }
 
+    /// The poolers' address is open here now; another process may have had it until now.
+    pub(crate) fn opened(&self) {
+        self.node.borrow_mut().opened(clock::steady(), clock::wall_ms());
+        self.changed.notify(usize::MAX);
+    }
+
     /// A datagram from the address of a pooler.
     pub(crate) fn take(&self, from: u32, bytes: &[u8]) {
         let Ok(from) = u16::try_from(from) else { return };
--- a/crates/net/src/peers.rs
+++ b/crates/net/src/peers.rs
@@ -40,14 +40,20 @@
         let mut told = false;
         loop {
             match Async::<UdpSocket>::bind(addresses.listen) {
-                Ok(socket) => return Self { socket, addresses, numbers, driver, leases },
+                Ok(socket) => {
+                    if let Some(leases) = &leases {
+                        leases.opened();
+                    }
+                    return Self { socket, addresses, numbers, driver, leases };
+                }
                 Err(error) if !told => {
                     tracing::warn!("other poolers are not heard yet, {}: {error}", addresses.listen);
                     told = true;
                 }
                 Err(_) => {}
             }
-            Timer::after(AGAIN).await;
+            // Leases are kept for this process for a while only.
+            Timer::after(if leases.is_some() { AGAIN / 20 } else { AGAIN }).await;
         }
     }
 
