--- a/crates/lab/src/leases/play.rs
+++ b/crates/lab/src/leases/play.rs
@@ -63,6 +63,8 @@
     folder: PathBuf,
     rng: ChaCha8Rng,
     same: BTreeSet<usize>,
+    /// What starts go by now: the version, the voters and those before them.
+    council: (u32, Vec<usize>, Vec<Vec<usize>>),
     outcome: Outcome,
 }
 
@@ -96,6 +98,7 @@
         folder,
         rng: ChaCha8Rng::seed_from_u64(seed),
         same: BTreeSet::new(),
+        council: (1, script.voters.clone(), script.previous.clone()),
         outcome: Outcome::default(),
     };
     play.run()?;
@@ -130,7 +133,7 @@
         Ok(())
     }
 
-    /// The operator's file of the fleet, by this version (0 for the script's) and key.
+    /// The operator's file of the fleet, by this version (0 for the present one) and key.
     fn operator(&self, version: u32, key: &str) -> Result<String, Failure> {
         let key = if key.is_empty() { KEY } else { key };
         let file = self.folder.join(format!("key-{}", key.len()));
@@ -143,9 +146,9 @@
         Ok(format!(
             "package linnetdeal\nleases: {{site: \"lab\", version: {}, voters: {:?}, previous: {:?}, drift: {}, longest: {:?},\n\
              keys: [{:?}], tasks: [{{name: \"{TASK}\", term: {:?}, call: {{address: \"{}\", every: {:?}, lasts: {:?}}}}}]}}\n",
-            version.max(1),
-            script.voters,
-            script.previous,
+            if version == 0 { self.council.0 } else { version },
+            self.council.1,
+            self.council.2,
             script.drift,
             ms(script.term),
             file.display().to_string(),
@@ -168,6 +171,9 @@
                         self.fleet.kill(*at);
                     }
                 }
+                if !step.voters.is_empty() {
+                    self.council = (step.version, step.voters.clone(), step.previous.clone());
+                }
                 let text = self.operator(step.version, &step.key)?;
                 let bend = [("LINNETDEAL_BEND", step.bend.clone())];
                 let variables = if step.bend.is_empty() { &[][..] } else { &bend[..] };
--- a/crates/lab/src/leases/script.cue
+++ b/crates/lab/src/leases/script.cue
@@ -25,6 +25,9 @@
 	bend:    string | *""
 	version: int & >=0 & <=999 | *0
 	key:     string | *""
+	// 'start': these voters, and those before them, here and in all starts that follow.
+	voters: [...#Number] | *[]
+	previous: [...[...#Number]] | *[]
 	// What must follow: somebody acts with a new token; the same goes on; nobody begins an act, one term later, for so long.
 	then: *"" | "takeover" | "same" | "nobody"
 }
--- a/crates/lab/src/leases/script.rs
+++ b/crates/lab/src/leases/script.rs
@@ -126,6 +126,10 @@
     pub version: u32,
     /// Another key.
     pub key: String,
+    /// The voters from here on; none for those there are.
+    pub voters: Vec<usize>,
+    /// Who voted before these.
+    pub previous: Vec<Vec<usize>>,
     /// What must follow.
     pub then: Then,
 }
