Leases: what a holder tells of members is one letter for all poolers

Need: found in reading the change again: a holder of 20 groups in a fleet of 300 would put 5,980 letters into a queue of 512, so that its own renewals could be lost behind them.

--- a/crates/coordination/src/lease/node.rs
+++ b/crates/coordination/src/lease/node.rs
@@ -3,6 +3,7 @@
 
 use super::message::{Body, Key, Letter, Position, Refused, Seen, open, seal};
 use super::{Answer, Claimant, Council, Holder, MOST_TASKS, Rules, Stage, Step, TaskId, Token, Voter, Who};
+use linnetdeal_core::peers::To;
 use linnetdeal_core::{Span, Time};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
@@ -43,8 +44,6 @@
     pub site: String,
     /// The version of the set of voters; unlike ones don't talk.
     pub version: u32,
-    /// How many poolers there are.
-    pub fleet: u16,
     /// The voters.
     pub voters: BTreeSet<u16>,
     /// Sets that other processes may still go by.
@@ -210,9 +209,8 @@
     own: VecDeque<Body>,
     /// What holders have told of members.
     positions: Vec<Position>,
-    fleet: u16,
     drift: u16,
-    out: Vec<(u16, Vec<u8>)>,
+    out: Vec<(To, Vec<u8>)>,
     notes: Vec<Note>,
     noted: BTreeSet<Note>,
 }
@@ -250,7 +248,6 @@
             unanswered: 0,
             own: VecDeque::new(),
             positions: Vec::new(),
-            fleet: setup.fleet,
             drift: setup.drift,
             out: Vec::new(),
             notes: Vec::new(),
@@ -276,8 +273,8 @@
         self.tasks.get(&task)?.claimant.holds(now)
     }
 
-    /// The datagrams to be sent, each with the number of its pooler.
-    pub fn take_letters(&mut self) -> Vec<(u16, Vec<u8>)> {
+    /// The datagrams to be sent, each with whom it is for.
+    pub fn take_letters(&mut self) -> Vec<(To, Vec<u8>)> {
         std::mem::take(&mut self.out)
     }
 
@@ -311,11 +308,9 @@
         if self.holds(now, task).is_none() {
             return;
         }
+        // One letter for all: where there is an address of all it is sent once.
         for part in positions.chunks(Body::MOST_POSITIONS) {
-            let me = self.me.number;
-            for to in (0..self.fleet).filter(|to| *to != me) {
-                self.post(to, Body::Positions { task, positions: part.to_vec() });
-            }
+            self.put(To::All, Body::Positions { task, positions: part.to_vec() });
         }
     }
 
@@ -725,6 +720,10 @@
             self.own.push_back(body);
             return;
         }
+        self.put(To::One(to.into()), body);
+    }
+
+    fn put(&mut self, to: To, body: Body) {
         self.letters += 1;
         let (site, version) = (self.site, self.version);
         let letter = Letter { site, version, sender: self.me, number: self.letters, body };
--- a/crates/coordination/tests/lease.rs
+++ b/crates/coordination/tests/lease.rs
@@ -1,6 +1,7 @@
 //! Votes, claims and letters of leases, each case with its own clock.
 
 use linnetdeal_coordination::lease::*;
+use linnetdeal_core::peers::To;
 use linnetdeal_core::{Span, Time};
 use proptest::prelude::*;
 use std::collections::BTreeSet;
@@ -151,7 +152,6 @@
     LeaseSetup {
         me: who(number),
         seed: 5,
-        fleet: 10,
         site: "here".into(),
         version: 3,
         voters: [0, 1, 2].into(),
@@ -168,7 +168,9 @@
 fn first_letter(node: &mut Node<Sound>, to: u16, until: Time) -> Vec<u8> {
     while node.due() <= until {
         node.tick(node.due());
-        if let Some((_, bytes)) = node.take_letters().into_iter().find(|(number, _)| *number == to) {
+        if let Some((_, bytes)) =
+            node.take_letters().into_iter().find(|(whom, _)| *whom == To::One(to.into()))
+        {
             return bytes;
         }
     }
--- a/crates/daemon/src/leases.rs
+++ b/crates/daemon/src/leases.rs
@@ -68,7 +68,6 @@
         seed: config.seed,
         site: settings.site.clone(),
         version: settings.version,
-        fleet: config.peers.as_ref().and_then(|peers| u16::try_from(peers.each.len()).ok()).unwrap_or(0),
         voters: settings.voters.clone(),
         previous: settings.previous.clone(),
         drift: settings.drift,
--- a/crates/net/src/leases.rs
+++ b/crates/net/src/leases.rs
@@ -19,6 +19,7 @@
 use linnetdeal_coordination::lease::{
     LeaseSetup, Node, Note, Position, Refused, Sound, TaskId, TaskSetup, Token, Who,
 };
+use linnetdeal_core::peers::To;
 use linnetdeal_core::{Event as News, Field, GroupId, ListState, MemberId, Span, Verdict};
 use serde_json::json;
 use smol_hyper::rt::FuturesIo;
@@ -128,7 +129,7 @@
     me: Who,
     /// Names by what stands for them.
     names: RefCell<BTreeMap<TaskId, String>>,
-    letters: RefCell<VecDeque<(u16, Vec<u8>)>>,
+    letters: RefCell<VecDeque<(To, Vec<u8>)>>,
     waiting: Event,
     /// Something has changed.
     changed: Event,
@@ -216,7 +217,7 @@
     }
 
     /// The next datagram to be sent; `None` once this pooler has left and all were.
-    pub(crate) async fn next_letter(&self) -> Option<(u16, Vec<u8>)> {
+    pub(crate) async fn next_letter(&self) -> Option<(To, Vec<u8>)> {
         loop {
             let waiting = self.waiting.listen();
             if let Some(letter) = self.letters.borrow_mut().pop_front() {
--- a/crates/net/src/peers.rs
+++ b/crates/net/src/peers.rs
@@ -65,8 +65,8 @@
     async fn send_letters(&self) {
         let Some(leases) = &self.leases else { return std::future::pending().await };
         while let Some((to, bytes)) = leases.next_letter().await {
-            if let Some(address) = self.addresses.each.get(usize::from(to)) {
-                let _ = self.socket.send_to(&bytes, *address).await;
+            for address in self.whom(to) {
+                let _ = self.socket.send_to(&bytes, address).await;
             }
             leases.sent();
         }
@@ -76,22 +76,21 @@
 
     async fn send(&self, tells: Receiver<(To, Vec<u8>)>) {
         while let Ok((to, bytes)) = tells.recv().await {
-            match (to, self.addresses.all) {
-                (To::All, Some(all)) => self.put(&bytes, all).await,
-                (To::All, None) => {
-                    for address in &self.addresses.each {
-                        self.put(&bytes, *address).await;
-                    }
-                }
-                (To::One(number), _) => {
-                    if let Some(address) = self.addresses.each.get(number as usize) {
-                        self.put(&bytes, *address).await;
-                    }
-                }
+            for address in self.whom(to) {
+                self.put(&bytes, address).await;
             }
         }
     }
 
+    /// The addresses of whom a datagram is for.
+    fn whom(&self, to: To) -> Vec<SocketAddr> {
+        match (to, self.addresses.all) {
+            (To::All, Some(all)) => vec![all],
+            (To::All, None) => self.addresses.each.clone(),
+            (To::One(number), _) => self.addresses.each.get(number as usize).copied().into_iter().collect(),
+        }
+    }
+
     /// What can't be sent is lost.
     async fn put(&self, bytes: &[u8], to: SocketAddr) {
         self.driver.counters.told.add();
