Leases: a pooler that is leaving takes nothing that is offered to it

Need: found in reading: a task handed to a pooler that was told to end would have been taken by it and left alone for a term after its end. Change: offers are passed over once all was given up.

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 proof-emulator: lab
 	target/release/linnetdeal-lab emulator
 
-# Leases: 270 scripts with processes and faults between them, 300 processes, the model check and its mutants; the last line is one
+# Leases: 290 plays of scripts with processes and faults between them, 300 processes, the model check and its mutants; the last line is one
 # JSON object. The daemon is a debug build, since no release build has clocks that can be bent.
 proof-leases:
 	cargo build --locked -p linnetdeal
--- a/crates/coordination/src/lease/node.rs
+++ b/crates/coordination/src/lease/node.rs
@@ -209,6 +209,8 @@
     own: VecDeque<Body>,
     /// What holders have told of members.
     positions: Vec<Position>,
+    /// All was given up: nothing is taken any more.
+    leaving: bool,
     drift: u16,
     out: Vec<(To, Vec<u8>)>,
     notes: Vec<Note>,
@@ -248,6 +250,7 @@
             unanswered: 0,
             own: VecDeque::new(),
             positions: Vec::new(),
+            leaving: false,
             drift: setup.drift,
             out: Vec::new(),
             notes: Vec::new(),
@@ -346,6 +349,7 @@
 
     /// Gives up all tasks, to a newer process of this pooler if there is one, and wants none any more.
     pub fn leave(&mut self, now: Time, replaced: bool) {
+        self.leaving = true;
         let heir = replaced.then_some(self.me.number);
         let tasks: Vec<TaskId> = self.tasks.keys().copied().collect();
         for task in tasks {
@@ -617,6 +621,8 @@
                     self.positions.extend(positions);
                 }
             }
+            // Who is about to end would leave it alone for a term.
+            Body::Offer { .. } if self.leaving => {}
             Body::Offer { task, token } => {
                 self.hear(now, task, token);
                 let Some(known) = self.tasks.get_mut(&task) else { return };
--- a/crates/coordination/tests/lease.rs
+++ b/crates/coordination/tests/lease.rs
@@ -251,6 +251,23 @@
     assert!(node.is_silent(at(5_999)) && !node.is_silent(at(6_000)));
 }
 
+#[test]
+fn who_is_leaving_takes_nothing_that_is_offered() {
+    let key = key("a key of an installation");
+    for leaving in [false, true] {
+        let mut node = Node::<Sound>::new(at(0), setup(9, true));
+        let site = open(&first_letter(&mut node, 1, at(60_000)), std::slice::from_ref(&key)).unwrap().site;
+        if leaving {
+            node.leave(at(60_000), false);
+        }
+        node.take_letters();
+        let body = Body::Offer { task: TaskId::of("sweep"), token: Token(3) };
+        let letter = Letter { site, version: 3, sender: who(1), number: 1, body };
+        node.take(at(60_001), 1, &seal(&letter, &key)).unwrap();
+        assert_eq!(node.take_letters().is_empty(), leaving);
+    }
+}
+
 #[test]
 fn a_voter_with_two_processes_does_not_count() {
     let key = key("a key of an installation");
