Overlap: who was told to end takes clients again when the newer process dies

Cause: a process that had given its place away was deaf from SIGTERM on, for good. A newer one that was killed in the overlap left the clients' socket with nobody behind it until the platform started another.

Change: each process locks a file of its own for life (flock); the leaving one looks whether the newest one's lock can be had, and turns its ears and its clients' connections back on. A hanging process keeps its lock and is not taken for dead.

--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::path::PathBuf;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Sender, channel};
@@ -943,3 +944,63 @@
     assert!(used, "it is used again");
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+/// Two processes of one place; the older one has a client, and has been told to end.
+fn overlap(server: &Server, discovery: &Discovery, name: &str) -> (Pooler, Pooler, Client, PathBuf) {
+    let folder = std::env::temp_dir().join(format!("linnetdeal-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let door = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let begin = || {
+        let known = vec![server.entry("up", "")];
+        let mut config: Value = serde_json::from_str(&config(discovery, known, 1_024)).unwrap();
+        let desk = free_port();
+        config["operator"] = desk.to_string().into();
+        let pooler = Pooler::beside(&config.to_string(), &door, &folder);
+        let mut tries = 0..100_000;
+        assert!(tries.any(|_| call(desk, "GET /-/ready") == "200"), "it says yes in the end");
+        pooler
+    };
+    let older = begin();
+    let client = Client::connect(&older);
+    let newer = begin();
+    older.signal("TERM");
+    older.logged("for a newer process");
+    (older, newer, client, folder)
+}
+
+#[test]
+fn who_was_told_to_end_takes_clients_again_when_the_newer_process_dies() {
+    let (one, discovery) = (plain("s-1", "replica"), Discovery::new());
+    let (mut older, mut newer, mut kept, folder) = overlap(&one, &discovery, "newer-dies");
+    newer.signal("KILL");
+    newer.child.wait().unwrap();
+    older.logged("clients are taken again");
+    for round in 0..3 {
+        // None of them is parted from any more.
+        let mut late = Client::connect(&older);
+        for _ in 0..2 {
+            assert_eq!(late.ask(&menu(&round.to_string())).value.as_deref(), Some(&b"s-1"[..]));
+        }
+        assert_eq!(kept.ask(&menu("k")).value.as_deref(), Some(&b"s-1"[..]));
+    }
+    assert!(older.child.wait().unwrap().success(), "it ends all the same");
+    assert!(older.logged("counters").contains(" taken=9 "));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[test]
+fn a_newer_process_that_hangs_is_not_taken_for_dead() {
+    let (one, discovery) = (plain("s-1", "replica"), Discovery::new());
+    let (mut older, mut newer, mut kept, folder) = overlap(&one, &discovery, "newer-hangs");
+    newer.signal("STOP");
+    // Answered, and parted from: who connects now waits for the newer process.
+    assert_eq!(kept.ask(&menu("1")).value.as_deref(), Some(&b"s-1"[..]));
+    assert!(kept.0.message().is_none() && !kept.0.reset, "an end behind the answer");
+    assert!(older.child.wait().unwrap().success());
+    assert!(older.logged("counters").contains(" taken=1 "));
+    newer.signal("CONT");
+    assert_eq!(Client::connect(&newer).ask(&menu("2")).value.as_deref(), Some(&b"s-1"[..]));
+    newer.signal("TERM");
+    assert!(newer.child.wait().unwrap().success());
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/crates/net/src/flag.rs
+++ b/crates/net/src/flag.rs
@@ -56,6 +56,23 @@
         self.event.notify(usize::MAX);
     }
 
+    /// Whether it is on.
+    #[must_use]
+    pub fn is_on(&self) -> bool {
+        self.since.get().is_some()
+    }
+
+    /// Waits until it is off.
+    pub async fn off(&self) {
+        loop {
+            let listener = self.event.listen();
+            if !self.is_on() {
+                return;
+            }
+            listener.await;
+        }
+    }
+
     /// Waits until it is on.
     pub async fn on(&self) -> Instant {
         loop {
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -104,18 +104,20 @@
     pub(crate) scratch: RefCell<Vec<u8>>,
 }
 
-/// Accepts clients until the pooler turns deaf.
-pub(crate) async fn run(door: Rc<Door>, listener: Async<TcpListener>) {
+/// Accepts clients until the pooler turns deaf; again when it is needed after all, which it can be only where the platform holds
+/// the listening socket (`kept`). One of its own is closed, so that nobody waits in it.
+pub(crate) async fn run(door: Rc<Door>, listener: Async<TcpListener>, kept: bool) {
     loop {
         let accepted = async {
             let room = door.seats.room().await;
             Some(listener.accept().await.map(|(stream, _)| (stream, room)))
         };
         let deaf = async {
-            door.life.deaf.raised().await;
+            door.life.deaf.on().await;
             None
         };
         match or(accepted, deaf).await {
+            None if kept => door.life.deaf.off().await,
             None => return,
             Some(Ok((stream, room))) => {
                 admit(&door, stream, room);
@@ -501,7 +503,7 @@
     /// Whether the client goes over to a newer process with the next answer: not while it has sent more already.
     fn parts(&self) -> bool {
         let nothing = |error: io::Error| error.kind() == io::ErrorKind::WouldBlock;
-        self.door.life.parting.is_up()
+        self.door.life.parting.is_on()
             && self.buffer.data().is_empty()
             && self.stream.get_ref().peek(&mut [0]).is_err_and(nothing)
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -261,7 +261,7 @@
         executor
             .spawn(async move {
                 open.raised().await;
-                frontend::run(Rc::new(door), listener).await;
+                frontend::run(Rc::new(door), listener, handed.is_some()).await;
             })
             .detach();
         Ok(Self { executor, life, shown, feed, name: config.name, listening })
--- a/crates/net/src/life.rs
+++ b/crates/net/src/life.rs
@@ -1,4 +1,5 @@
-//! How far the life of a pooler has come, each stage raised once and in this order.
+//! How far the life of a pooler has come. Stages come in this order, each once; only who gave its place to a newer process that
+//! died before the end takes clients again.
 
 use crate::flag::{Flag, Switch};
 
@@ -7,12 +8,12 @@
 pub struct Life {
     /// It has been told to end: it serves on, but wants nothing new for longer than that.
     pub draining: Flag,
-    /// A newer process takes the clients: each answer ends its connection.
-    pub parting: Flag,
+    /// While a newer process takes the clients: each answer ends its connection.
+    pub parting: Switch,
     /// Idle clients are closed.
     pub closing: Flag,
     /// Nobody is accepted any more.
-    pub deaf: Flag,
+    pub deaf: Switch,
     /// What is open gets its answer now.
     pub ending: Flag,
     /// All is done.
--- a/crates/net/src/signals.rs
+++ b/crates/net/src/signals.rs
@@ -101,14 +101,46 @@
         "draining with {clients} clients connected{}",
         if taken { ", for a newer process" } else { "" }
     );
-    let mut steps = vec![(plan.closing, &life.closing), (plan.deaf, &life.deaf)];
-    steps.extend(plan.parting.map(|at| (at, &life.parting)));
+    if taken && leave_place(handler, &plan, started).await {
+        let life = &handler.life;
+        tracing::warn!("the newer process is gone: clients are taken again");
+        life.parting.turn(false);
+        life.deaf.turn(false);
+        // As one that has no newer one, except that it has no more time than before.
+        let alone = Leaving::plan(span_of(handler.classes.longest_deadline()), false);
+        stages(handler, &alone, started).await;
+        return;
+    }
+    stages(handler, &plan, started).await;
+}
+
+/// Leaves the clients to the newer process until they are gone; true if that died meanwhile.
+async fn leave_place(handler: &Handler, plan: &Leaving, started: Instant) -> bool {
+    let life = &handler.life;
+    life.parting.turn(true);
+    life.deaf.turn(true);
+    while started.elapsed() < duration(plan.closing) {
+        if handler.shared.as_ref().is_some_and(|shared| shared.newer_died()) {
+            return true;
+        }
+        Timer::after(LOOK).await;
+    }
+    false
+}
+
+/// The steps that are still to be taken, in their order.
+async fn stages(handler: &Handler, plan: &Leaving, started: Instant) {
+    let life = &handler.life;
+    let mut steps = vec![(plan.closing, None), (plan.deaf, Some(&life.deaf))];
     steps.sort_by_key(|(at, _)| *at);
-    for (at, stage) in steps {
+    for (at, switch) in steps {
         if let Some(wait) = duration(at).checked_sub(started.elapsed()) {
             Timer::after(wait).await;
         }
-        stage.raise();
+        match switch {
+            Some(switch) => switch.turn(true),
+            None => life.closing.raise(),
+        }
     }
     for (until, stage) in [(plan.ending, &life.ending), (plan.ended, &life.ended)] {
         while handler.seats.taken() > 0 && started.elapsed() < duration(until) {
--- a/crates/net/src/succession.rs
+++ b/crates/net/src/succession.rs
@@ -5,8 +5,10 @@
 use linnetdeal_core::MemberId;
 use linnetdeal_core::membership::MOST_BANS;
 use linnetdeal_core::succession::{Bans, Changes};
+use rustix::fs::{FlockOperation, flock};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
+use std::fs::File;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -16,6 +18,8 @@
 const OUT: &str = "linnetdeal.out";
 /// Names the newest process.
 const NEWEST: &str = "linnetdeal.newest";
+/// Each process holds a lock on a file of its own for as long as it lives; the system takes it away however the process ends.
+const ALIVE: &str = "linnetdeal.alive";
 /// How often it is looked; nothing new goes to a server 0.25 s after the other process has said yes to a call.
 const LOOK: Duration = Duration::from_millis(50);
 /// A folder that changed less long ago may have changed once more within one tick of the file system's clock.
@@ -32,6 +36,8 @@
     own: String,
     bans: RefCell<Bans>,
     seen: Cell<Option<SystemTime>>,
+    /// The own lock, while this lives.
+    alive: RefCell<Option<File>>,
 }
 
 impl Shared {
@@ -44,8 +50,8 @@
         std::fs::create_dir_all(folder.join(OUT))?;
         let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         let own = format!("{}-{}", std::process::id(), now.as_nanos());
-        let (bans, seen) = (RefCell::default(), Cell::new(None));
-        Ok(Self { folder: folder.to_owned(), own, bans, seen })
+        let (bans, seen, alive) = (RefCell::default(), Cell::new(None), RefCell::default());
+        Ok(Self { folder: folder.to_owned(), own, bans, seen, alive })
     }
 
     /// Says that this process is the newest.
@@ -54,6 +60,14 @@
     ///
     /// When it can't be written.
     pub fn claim(&self) -> io::Result<()> {
+        // What processes before left behind goes; a lock that is held is a living one's.
+        for entry in std::fs::read_dir(&self.folder)?.take(MOST_FILES).flatten() {
+            let of = entry.file_name();
+            if of.to_str().is_some_and(|name| name.starts_with(ALIVE)) && lock(&entry.path()).is_ok() {
+                let _ = std::fs::remove_file(entry.path());
+            }
+        }
+        *self.alive.borrow_mut() = Some(lock(&self.alive_file(&self.own))?);
         let beside = self.folder.join(format!("{NEWEST}.{}", self.own));
         std::fs::write(&beside, &self.own)?;
         std::fs::rename(&beside, self.folder.join(NEWEST))
@@ -66,6 +80,22 @@
         newest.is_ok_and(|newest| !newest.is_empty() && newest != self.own.as_bytes())
     }
 
+    fn alive_file(&self, of: &str) -> PathBuf {
+        self.folder.join(format!("{ALIVE}.{of}"))
+    }
+
+    /// Whether the process that has taken this one's place is dead. One that hangs is not: nothing tells that from one that
+    /// is slow.
+    #[must_use]
+    pub fn newer_died(&self) -> bool {
+        let Ok(newest) = std::fs::read_to_string(self.folder.join(NEWEST)) else { return false };
+        if newest.is_empty() || newest == self.own {
+            return false;
+        }
+        let file = File::open(self.alive_file(&newest));
+        file.is_ok_and(|file| flock(&file, FlockOperation::NonBlockingLockExclusive).is_ok())
+    }
+
     /// Writes down that a server is out by hand, or takes that away.
     ///
     /// # Errors
@@ -125,6 +155,12 @@
     }
 }
 
+fn lock(path: &Path) -> io::Result<File> {
+    let file = File::options().create(true).append(true).open(path)?;
+    flock(&file, FlockOperation::NonBlockingLockExclusive)?;
+    Ok(file)
+}
+
 /// The id that a file is named by.
 fn id(name: &str) -> Option<MemberId> {
     let digit = |at: usize| name.get(at..at + 2).and_then(|two| u8::from_str_radix(two, 16).ok());
