Work: the record of a plan in voters' memory, its letters and the order of machines

A step must outlive its holder by any time, and there is no disk that lasts.

Change: coordination/work, pure: the record and its register (Store, Writer), the order by limits and three schemes, the desk that is all of one pooler, letters of at most 256 bytes.

--- a/crates/coordination/src/lease/message.rs
+++ b/crates/coordination/src/lease/message.rs
@@ -4,6 +4,7 @@
 //! body stand 16 bytes of HMAC-SHA-256 over all before them. Numbers are big-endian.
 
 use super::{Answer, Holder, TaskId, Token, Who};
+use crate::work;
 use hmac::{Hmac, Mac};
 use linnetdeal_core::Span;
 use sha2::Sha256;
@@ -147,6 +148,8 @@
         /// What they said.
         positions: Vec<Position>,
     },
+    /// Of machines out for work.
+    Work(work::Note),
     /// You are to have the task that I have just released.
     Offer {
         /// The task.
@@ -270,6 +273,7 @@
                 out.push(u8::from(of.primary));
             }
         }
+        Body::Work(note) => work::put(&mut out, note),
         Body::Offer { task, token } => {
             out.push(7);
             out.extend(task.0.to_be_bytes());
@@ -398,7 +402,11 @@
                 Body::Positions { task, positions }
             }
             7 => Body::Offer { task: self.task()?, token: self.token()? },
-            _ => return None,
+            form => {
+                let note = work::take(form, self.0)?;
+                self.0 = &[];
+                Body::Work(note)
+            }
         })
     }
 }
--- a/crates/coordination/src/lease/node.rs
+++ b/crates/coordination/src/lease/node.rs
@@ -3,6 +3,7 @@
 
 use super::message::{Body, Key, Letter, Position, Refused, Seen, open, seal};
 use super::{Answer, Claimant, Council, Holder, MOST_TASKS, Rules, Stage, Step, TaskId, Token, Voter, Who};
+use crate::work;
 use linnetdeal_core::peers::To;
 use linnetdeal_core::{Span, Time};
 use rand_chacha::ChaCha8Rng;
@@ -209,6 +210,8 @@
     own: VecDeque<Body>,
     /// What holders have told of members.
     positions: Vec<Position>,
+    /// What others have said of machines out for work.
+    work: Vec<(Who, work::Note)>,
     /// All was given up: nothing is taken any more.
     leaving: bool,
     drift: u16,
@@ -250,6 +253,7 @@
             unanswered: 0,
             own: VecDeque::new(),
             positions: Vec::new(),
+            work: Vec::new(),
             leaving: false,
             drift: setup.drift,
             out: Vec::new(),
@@ -322,6 +326,24 @@
         std::mem::take(&mut self.positions)
     }
 
+    /// What others have said of machines out for work since.
+    pub fn take_work(&mut self) -> Vec<(Who, work::Note)> {
+        std::mem::take(&mut self.work)
+    }
+
+    /// Says something of machines out for work.
+    pub fn say(&mut self, to: To, note: work::Note) {
+        self.put(to, Body::Work(note));
+    }
+
+    /// Takes no more part in a task than a voter does, until [`Node::acquire`].
+    pub fn abstain(&mut self, now: Time, task: TaskId) {
+        self.release(now, task, None);
+        if let Some(task) = self.tasks.get_mut(&task) {
+            task.wanted = false;
+        }
+    }
+
     /// Takes part in a task that this pooler would leave to others.
     pub fn acquire(&mut self, now: Time, task: TaskId) {
         if let Some(task) = self.tasks.get_mut(&task) {
@@ -621,6 +643,11 @@
                     self.positions.extend(positions);
                 }
             }
+            Body::Work(note) => {
+                if self.work.len() < MOST_NOTES {
+                    self.work.push((sender, note));
+                }
+            }
             // Who is about to end would leave it alone for a term.
             Body::Offer { .. } if self.leaving => {}
             Body::Offer { task, token } => {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -2,3 +2,4 @@
 //! bytes and times go out; `net/leases.rs` is the host.
 
 pub mod lease;
+pub mod work;
--- /dev/null
+++ b/crates/coordination/src/work/wire.rs
@@ -0,0 +1,253 @@
+//! The bytes of what is said of machines out for work, behind the head that all letters have. Numbers are big-endian.
+
+use super::record::{
+    Kind, Load, MOST_MACHINES, Mode, Note, PART, Places, PlanId, Record, Said, State, Verb, Word,
+};
+use crate::lease::Token;
+
+/// The form of the first of them; those before belong to leases.
+const FIRST: u8 = 16;
+/// Voters that a write names.
+pub const MOST_VOTERS: usize = 14;
+
+/// Writes one.
+pub(crate) fn put(out: &mut Vec<u8>, note: &Note) {
+    match note {
+        Note::Read { round, promise, own } => {
+            out.push(FIRST);
+            out.extend(round.to_be_bytes());
+            out.extend(promise.0.to_be_bytes());
+            out.extend(own.to_be_bytes());
+        }
+        Note::Seen { round, own, blank, promised, record } => {
+            out.push(FIRST + 1);
+            out.extend(round.to_be_bytes());
+            out.extend(own.to_be_bytes());
+            out.push(u8::from(*blank));
+            out.extend(promised.0.to_be_bytes());
+            put_record(out, record);
+        }
+        Note::Write { numbers, record } => {
+            out.push(FIRST + 2);
+            let numbers = &numbers[..numbers.len().min(MOST_VOTERS)];
+            out.push(numbers.len() as u8);
+            numbers.iter().for_each(|number| out.extend(number.to_be_bytes()));
+            put_record(out, record);
+        }
+        Note::Stored { token, version, own, refused, promised } => {
+            out.push(FIRST + 3);
+            out.extend(token.0.to_be_bytes());
+            out.extend(version.to_be_bytes());
+            out.extend(own.to_be_bytes());
+            out.push(u8::from(*refused));
+            out.extend(promised.0.to_be_bytes());
+        }
+        Note::Tell { record } => {
+            out.push(FIRST + 4);
+            put_record(out, record);
+        }
+        Note::Word(word) => {
+            out.push(FIRST + 5);
+            put_word(out, word);
+        }
+        Note::Wants { plan, at } => {
+            out.push(FIRST + 6);
+            out.extend(plan.0.to_be_bytes());
+            out.extend(at.to_be_bytes());
+        }
+        Note::Part { plan, kind, nonce, count, at, machines } => {
+            out.push(FIRST + 7);
+            out.extend(plan.0.to_be_bytes());
+            out.push(u8::from(*kind == Kind::Poolers));
+            out.extend(nonce.to_be_bytes());
+            out.extend(count.to_be_bytes());
+            out.extend(at.to_be_bytes());
+            machines.iter().take(PART).for_each(|machine| out.extend(machine.to_be_bytes()));
+        }
+        Note::Call { call, verb, plan, at } => {
+            out.push(FIRST + 8);
+            out.extend(call.to_be_bytes());
+            out.push(place(&Verb::ALL, verb));
+            out.extend(plan.0.to_be_bytes());
+            out.extend(at.to_be_bytes());
+        }
+        Note::Reply { call, said } => {
+            out.push(FIRST + 9);
+            out.extend(call.to_be_bytes());
+            out.push(place(&Said::ALL, said));
+        }
+    }
+}
+
+/// Where something stands among all of its kind; each list names all.
+fn place<T: PartialEq>(all: &[T], one: &T) -> u8 {
+    all.iter().position(|of| of == one).unwrap_or(0) as u8
+}
+
+fn put_record(out: &mut Vec<u8>, record: &Record) {
+    out.extend(record.token.0.to_be_bytes());
+    out.extend(record.version.to_be_bytes());
+    out.extend(record.plan.0.to_be_bytes());
+    out.push(place(&Mode::ALL, &record.mode));
+    let states = &record.states[..record.states.len().min(MOST_MACHINES)];
+    out.extend((states.len() as u16).to_be_bytes());
+    for two in states.chunks(2) {
+        let high = place(&State::ALL, &two[0]);
+        out.push(high << 4 | two.get(1).map_or(0, |low| place(&State::ALL, low)));
+    }
+}
+
+fn put_word(out: &mut Vec<u8>, word: &Word) {
+    out.extend(word.plan.0.to_be_bytes());
+    out.extend(word.token.0.to_be_bytes());
+    out.extend(word.version.to_be_bytes());
+    out.push(u8::from(word.blank));
+    out.extend(word.zone.to_be_bytes());
+    let clear = word.clear.bytes();
+    out.push(clear.len() as u8);
+    out.extend(clear);
+    let failing = &word.failing[..word.failing.len().min(Word::MOST_FAILING)];
+    out.push(failing.len() as u8);
+    failing.iter().for_each(|of| out.extend(of.to_be_bytes()));
+    for load in word.loads.iter().take(Word::MOST_LOADS) {
+        [load.group, load.now, load.peak].iter().for_each(|part| out.extend(part.to_be_bytes()));
+    }
+}
+
+/// Reads one whole, or not at all.
+pub(crate) fn take(form: u8, bytes: &[u8]) -> Option<Note> {
+    let mut read = Reader(bytes);
+    let note = read.note(form.checked_sub(FIRST)?)?;
+    read.0.is_empty().then_some(note)
+}
+
+struct Reader<'b>(&'b [u8]);
+
+impl Reader<'_> {
+    fn take<const N: usize>(&mut self) -> Option<[u8; N]> {
+        let (head, rest) = self.0.split_first_chunk::<N>()?;
+        self.0 = rest;
+        Some(*head)
+    }
+
+    fn byte(&mut self) -> Option<u8> {
+        Some(self.take::<1>()?[0])
+    }
+
+    fn short(&mut self) -> Option<u16> {
+        Some(u16::from_be_bytes(self.take()?))
+    }
+
+    fn word32(&mut self) -> Option<u32> {
+        Some(u32::from_be_bytes(self.take()?))
+    }
+
+    fn long(&mut self) -> Option<u64> {
+        Some(u64::from_be_bytes(self.take()?))
+    }
+
+    fn flag(&mut self) -> Option<bool> {
+        [false, true].get(usize::from(self.byte()?)).copied()
+    }
+
+    fn one<T: Copy>(&mut self, all: &[T]) -> Option<T> {
+        all.get(usize::from(self.byte()?)).copied()
+    }
+
+    fn token(&mut self) -> Option<Token> {
+        Some(Token(self.long()?))
+    }
+
+    fn plan(&mut self) -> Option<PlanId> {
+        Some(PlanId(self.long()?))
+    }
+
+    fn record(&mut self) -> Option<Record> {
+        let (token, version, plan) = (self.token()?, self.word32()?, self.plan()?);
+        let (mode, count) = (self.one(&Mode::ALL)?, usize::from(self.short()?));
+        if count > MOST_MACHINES {
+            return None;
+        }
+        let mut states = Vec::with_capacity(count);
+        while states.len() < count {
+            let two = self.byte()?;
+            states.push(*State::ALL.get(usize::from(two >> 4))?);
+            if states.len() < count {
+                states.push(*State::ALL.get(usize::from(two & 15))?);
+            } else if two & 15 != 0 {
+                return None;
+            }
+        }
+        Some(Record { token, version, plan, mode, states })
+    }
+
+    fn said_word(&mut self) -> Option<Word> {
+        let (plan, token, version) = (self.plan()?, self.token()?, self.word32()?);
+        let (blank, zone, size) = (self.flag()?, self.short()?, usize::from(self.byte()?));
+        if size > MOST_MACHINES / 8 || size > self.0.len() {
+            return None;
+        }
+        let (clear, rest) = self.0.split_at(size);
+        self.0 = rest;
+        let count = usize::from(self.byte()?);
+        if count > Word::MOST_FAILING {
+            return None;
+        }
+        let failing: Option<Vec<u64>> = (0..count).map(|_| self.long()).collect();
+        let mut loads = Vec::new();
+        while !self.0.is_empty() && loads.len() < Word::MOST_LOADS {
+            loads.push(Load { group: self.short()?, now: self.short()?, peak: self.short()? });
+        }
+        let clear = Places::read(clear);
+        Some(Word { plan, token, version, clear, blank, zone, failing: failing?, loads })
+    }
+
+    fn note(&mut self, form: u8) -> Option<Note> {
+        Some(match form {
+            0 => Note::Read { round: self.word32()?, promise: self.token()?, own: self.word32()? },
+            1 => Note::Seen {
+                round: self.word32()?,
+                own: self.word32()?,
+                blank: self.flag()?,
+                promised: self.token()?,
+                record: self.record()?,
+            },
+            2 => {
+                let count = usize::from(self.byte()?);
+                if count > MOST_VOTERS {
+                    return None;
+                }
+                let numbers: Option<Vec<u32>> = (0..count).map(|_| self.word32()).collect();
+                Note::Write { numbers: numbers?, record: self.record()? }
+            }
+            3 => Note::Stored {
+                token: self.token()?,
+                version: self.word32()?,
+                own: self.word32()?,
+                refused: self.flag()?,
+                promised: self.token()?,
+            },
+            4 => Note::Tell { record: self.record()? },
+            5 => Note::Word(self.said_word()?),
+            6 => Note::Wants { plan: self.plan()?, at: self.short()? },
+            7 => {
+                let (plan, kind, nonce) = (self.plan()?, self.flag()?, self.long()?);
+                let (count, at) = (self.short()?, self.short()?);
+                let kind = if kind { Kind::Poolers } else { Kind::Servers };
+                let mut machines = Vec::new();
+                while !self.0.is_empty() && machines.len() < PART {
+                    machines.push(self.long()?);
+                }
+                Note::Part { plan, kind, nonce, count, at, machines }
+            }
+            8 => Note::Call {
+                call: self.word32()?,
+                verb: self.one(&Verb::ALL)?,
+                plan: self.plan()?,
+                at: self.short()?,
+            },
+            9 => Note::Reply { call: self.word32()?, said: self.one(&Said::ALL)? },
+            _ => return None,
+        })
+    }
+}
