--- a/crates/coordination/src/work/desk.rs
+++ b/crates/coordination/src/work/desk.rs
@@ -22,6 +22,8 @@
 const MOST_LIVES: usize = 4;
 /// A holder that finds no plan takes none for so many words' time, in which others may tell of one.
 const COPIES: i64 = 4;
+/// The first step waits for so many words' time: until then too little is known of load and poolers.
+const FIRST_WORDS: i64 = 4;
 /// A word older than so many words' time says nothing of load.
 const STALE: i64 = 10;
 /// Letters with machines that answer one question.
@@ -44,8 +46,10 @@
     pub every: Span,
     /// A pooler that starts waits so long for a majority of voters before it serves by what it has heard.
     pub hold: Span,
-    /// What must hold.
+    /// What must hold while servers are out.
     pub limits: Limits,
+    /// What must hold while poolers are.
+    pub poolers: Limits,
 }
 
 /// What the host knows of this pooler when it has things done.
@@ -57,6 +61,8 @@
     pub holder: Option<u16>,
     /// By the plan's machines: nothing is out and nothing idle there, in any process of this pooler.
     pub clear: Places,
+    /// The age of the record that `clear` is about.
+    pub clear_of: (Token, u32),
     /// What stands for its zone.
     pub zone: u16,
     /// Servers that fail it.
@@ -141,6 +147,8 @@
 struct Lead<K> {
     writer: Writer<K>,
     since: Time,
+    /// When the plan began under it.
+    begun: Time,
     /// Since when each machine is in its state.
     times: Vec<Time>,
     waits: BTreeMap<usize, Why>,
@@ -235,6 +243,17 @@
         self.started
     }
 
+    /// Another process of this pooler, which lives, knows what is out, and that was adopted.
+    pub fn start_by_other(&mut self) {
+        self.started = true;
+    }
+
+    /// The age of the record that this pooler acts on.
+    #[must_use]
+    pub fn age(&self) -> (Token, u32) {
+        self.heard.age()
+    }
+
     /// Waited for a majority in vain: it is served by what was heard. True once, when that happens.
     pub fn give_up_waiting(&mut self, now: Time) -> bool {
         let over = !self.started && now - self.began >= self.setup.hold;
@@ -355,6 +374,11 @@
         Some(self.next_call)
     }
 
+    /// Nobody waits for a call any more.
+    pub fn forget_call(&mut self, call: u32) {
+        self.calls.remove(&call);
+    }
+
     /// How a call came out; `None` while it is not known. A call that was answered is forgotten by this.
     pub fn said(&mut self, call: u32) -> Option<Said> {
         let said = self.calls.get(&call)?.said?;
@@ -484,6 +508,7 @@
         self.lead = Some(Lead {
             writer: Writer::new(token, self.round, self.voters.clone()),
             since: now,
+            begun: now,
             times: Vec::new(),
             waits: BTreeMap::new(),
             told: BTreeMap::new(),
@@ -551,11 +576,14 @@
             return;
         }
         let Some(plan) = self.plans.get(&settled.plan).cloned() else { return };
-        let facts = facts(plan.kind);
+        let mut facts = facts(plan.kind);
+        // Each pooler has to say first what it bears.
+        let begun = self.lead.as_ref().map_or(now, |lead| lead.begun.max(lead.since));
+        facts.unknown = now - begun < Span(self.setup.every.0 * FIRST_WORDS);
         let lead_times = self.lead.as_ref().map(|lead| lead.times.clone()).unwrap_or_default();
         let clear = |at: usize| self.missing(&plan, at).is_empty();
         let Next { states, mode, waits } =
-            next(now, &plan, settled, &lead_times, &facts, &self.setup.limits, &clear);
+            next(now, &plan, settled, &lead_times, &facts, self.limits(plan.kind), &clear);
         let Some(lead) = &mut self.lead else { return };
         lead.waits = waits;
         if states != settled.states || mode != settled.mode {
@@ -563,10 +591,20 @@
         }
     }
 
+    fn limits(&self, kind: Kind) -> &Limits {
+        match kind {
+            Kind::Servers => &self.setup.limits,
+            Kind::Poolers => &self.setup.poolers,
+        }
+    }
+
     /// Has a record stored in place of the settled one.
     fn put(&mut self, now: Time, record: Record) {
         let Some(lead) = &mut self.lead else { return };
         let Some(before) = lead.writer.settled().cloned() else { return };
+        if before.plan != record.plan {
+            lead.begun = now;
+        }
         lead.times.resize(record.states.len(), now);
         lead.left.resize(record.states.len(), 0);
         for (at, state) in record.states.iter().enumerate() {
@@ -645,8 +683,10 @@
             (last.plan, last.token, last.version, &last.clear, last.blank)
                 != (word.plan, word.token, word.version, &word.clear, word.blank)
         });
-        // Without a plan, who holds the lease needs no words but the first.
-        if !changed && now < self.word_due || self.heard.token == Token(0) {
+        // Without a plan, who holds the lease needs no words but the first. What is clear was found out by an older record: the
+        // next word is about this one.
+        let late = own.clear_of != self.heard.age();
+        if !changed && now < self.word_due || self.heard.token == Token(0) || late {
             return;
         }
         let pause = if self.is_under_way() { self.setup.every.0 } else { self.setup.every.0 * 60 };
@@ -937,7 +977,7 @@
                 // What was free by an earlier holder's word is so by this one's: somebody may have come back since.
                 let known = self.plans.get(&plan)?;
                 if state == State::Free && !self.missing(known, at).is_empty() {
-                    return Some((Said::NotNow, None));
+                    return None;
                 }
                 State::AtWork
             }
@@ -960,7 +1000,7 @@
     ///
     /// The first machine that never may go out, by its place, and why.
     pub fn possible(&self, plan: PlanId, facts: &Facts) -> Result<(), (usize, Why)> {
-        self.plans.get(&plan).map_or(Ok(()), |plan| possible(plan, facts, &self.setup.limits))
+        self.plans.get(&plan).map_or(Ok(()), |plan| possible(plan, facts, self.limits(plan.kind)))
     }
 
     fn post(&mut self, to: u16, note: Note) {
--- a/crates/coordination/src/work/mod.rs
+++ b/crates/coordination/src/work/mod.rs
@@ -11,7 +11,6 @@
 pub use order::{Fact, Facts, Limits, Next, Scheme, Why, next, possible};
 pub use record::{
     Kind, Load, MOST_MACHINES, Mode, Note, PART, Places, Plan, PlanId, Record, Said, State, Verb, Word,
-    machine,
 };
 pub use register::{Keeping, Store, Whole, Writer};
 pub use wire::MOST_VOTERS;
--- a/crates/coordination/src/work/order.rs
+++ b/crates/coordination/src/work/order.rs
@@ -72,6 +72,8 @@
     pub loads: BTreeMap<u16, (f64, f64)>,
     /// Nothing begins at this hour.
     pub quiet: bool,
+    /// The poolers have not said yet what they bear.
+    pub unknown: bool,
     /// Poolers only: voters, of which a majority stays.
     pub voters: BTreeSet<u64>,
 }
@@ -97,6 +99,8 @@
     Changing,
     /// Nothing begins at this hour.
     Quiet,
+    /// The poolers have not all had time to say what they bear.
+    Unknown,
     /// The plan is paused.
     Paused,
     /// It would be one voter too many.
@@ -121,6 +125,7 @@
             Self::Replicas => write!(f, "it is the primary, and others of its group come first"),
             Self::Changing => write!(f, "the primary of its group changes, or is not known"),
             Self::Quiet => write!(f, "nothing begins at this hour"),
+            Self::Unknown => write!(f, "the poolers have yet to say what they bear"),
             Self::Paused => write!(f, "the plan is paused"),
             Self::Voters => write!(f, "another voter is out"),
             Self::Hurts => write!(f, "others fail: what has not been touched comes back"),
@@ -240,11 +245,17 @@
     }
     best.loads.clear();
     for (at, machine) in plan.machines.iter().enumerate() {
+        let mut best = best.clone();
+        let Some(place) = best.machines.iter().position(|of| of.machine == *machine) else { continue };
+        // Once it is handed over, another one is the primary.
+        if best.machines[place].primary {
+            let group = best.machines[place].group;
+            let heir = best.machines.iter_mut().find(|of| of.group == group && of.machine != *machine);
+            heir.into_iter().for_each(|of| of.primary = true);
+            best.machines[place].primary = false;
+        }
         let mut board = Board::new(plan.kind, plan, &[], &best, limits);
-        let Some(fact) = board.by.get(machine).copied() else { continue };
-        // Once it is handed over, a replica less is left whoever goes out.
-        let one = Fact { primary: false, ..fact.clone() };
-        if let Some(why) = board.with(&one) {
+        if let Some(why) = board.with(&best.machines[place]) {
             return Err((at, why));
         }
     }
@@ -295,7 +306,9 @@
     let mut board = Board::new(plan.kind, plan, &states, facts, limits);
     if board.hurts() {
         for (at, state) in states.iter_mut().enumerate() {
-            if matches!(state, State::Leaving | State::Free) {
+            // One that is dead would be of no use back.
+            let dead = known.get(&plan.machines[at]).is_some_and(|of| !of.serves || of.failing);
+            if matches!(state, State::Leaving | State::Free) && !dead {
                 *state = State::Waiting;
                 waits.insert(at, Why::Hurts);
             }
@@ -305,10 +318,14 @@
             return Next { states, mode: record.mode, waits };
         }
     }
-    if record.mode == Mode::Running && !facts.quiet {
+    if record.mode == Mode::Running && !facts.quiet && !facts.unknown {
         go_out(plan, &mut states, &mut board, &known, &mut waits);
     } else {
-        let why = if facts.quiet { Why::Quiet } else { Why::Paused };
+        let why = match record.mode {
+            Mode::Running if facts.unknown => Why::Unknown,
+            Mode::Running => Why::Quiet,
+            _ => Why::Paused,
+        };
         let waiting = states.iter().enumerate().filter(|(_, state)| **state == State::Waiting);
         waits.extend(waiting.map(|(at, _)| (at, why.clone())));
     }
--- a/crates/coordination/src/work/record.rs
+++ b/crates/coordination/src/work/record.rs
@@ -22,7 +22,7 @@
 pub struct Plan {
     /// What they are.
     pub kind: Kind,
-    /// Which they are: [`machine`] of a server's id, or a pooler's number.
+    /// Which they are: what stands for a server's id (`membership::stands_for`), or a pooler's number.
     pub machines: Vec<u64>,
     /// Tells plans of the same machines apart.
     pub nonce: u64,
@@ -44,12 +44,6 @@
     })
 }
 
-/// What stands for a server's id.
-#[must_use]
-pub fn machine(id: &str) -> u64 {
-    fnv(id.bytes())
-}
-
 impl Plan {
     /// Its name. A name that stands for no plan is not drawn.
     #[must_use]
--- /dev/null
+++ b/crates/coordination/tests/work.rs
@@ -0,0 +1,599 @@
+//! A plan carried out by a fleet of poolers in virtual time, with holders that die, letters that are lost and poolers that start anew;
+//! and the order of machines by itself.
+
+use linnetdeal_coordination::lease::{Body, Key, Letter, Token, Who, open, seal};
+use linnetdeal_coordination::work::*;
+use linnetdeal_core::peers::To;
+use linnetdeal_core::{Span, Time};
+use proptest::prelude::*;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{RngCore, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+
+const EVERY: Span = Span::millis(100);
+
+fn limits() -> Limits {
+    Limits {
+        all: 3,
+        zone: 2,
+        group: 1,
+        zones: 1,
+        warm: 1,
+        spare: 1.0,
+        cold: Span::millis(300),
+        handing: Span::millis(1_000),
+        scheme: Scheme::Ahead,
+    }
+}
+
+/// Groups of three in three zones; the first of each is its primary.
+fn facts(groups: u16) -> Facts {
+    let of = |group: u16, zone: u16| Fact {
+        machine: u64::from(group * 10 + zone) + 1_000,
+        group,
+        zone,
+        capacity: 100.0,
+        primary: zone == group % 3,
+        serves: true,
+        failing: false,
+        warm: true,
+    };
+    let machines = (0..groups).flat_map(|group| (0..3).map(move |zone| of(group, zone))).collect();
+    Facts { machines, ..Facts::default() }
+}
+
+fn plan(facts: &Facts) -> Plan {
+    Plan { kind: Kind::Servers, machines: facts.machines.iter().map(|of| of.machine).collect(), nonce: 1 }
+}
+
+fn record(plan: &Plan) -> Record {
+    let states = vec![State::Waiting; plan.machines.len()];
+    Record { token: Token(1), version: 1, plan: plan.id(), mode: Mode::Running, states }
+}
+
+/// One step after another until nothing changes, with machines that are clear at once and work that lasts a step.
+fn carry_out(facts: &mut Facts, limits: &Limits, mut each: impl FnMut(usize, &[State], &Facts)) -> Record {
+    let plan = plan(facts);
+    let mut record = record(&plan);
+    let mut since = vec![Time(0); plan.machines.len()];
+    for step in 0..1_000 {
+        let now = Time(step * 100_000);
+        let next = next(now, &plan, &record, &since, facts, limits, &|_| true);
+        for (at, (before, after)) in record.states.iter().zip(&next.states).enumerate() {
+            if before != after {
+                since[at] = now;
+            }
+            // The hand-over is made.
+            if *after == State::Handing {
+                let (group, machine) = (facts.machines[at].group, plan.machines[at]);
+                let heir = facts.machines.iter().position(|of| of.group == group && of.machine != machine);
+                facts.machines[at].primary = false;
+                facts.machines[heir.unwrap()].primary = true;
+            }
+        }
+        (record.states, record.mode) = (next.states, next.mode);
+        each(step as usize, &record.states, facts);
+        if record.mode == Mode::Over {
+            return record;
+        }
+        for (at, state) in record.states.iter_mut().enumerate() {
+            if state.is_free() {
+                (*state, since[at]) = (State::AtWork, now);
+            } else if *state == State::AtWork {
+                (*state, since[at]) = (State::Warming, now);
+            }
+        }
+    }
+    panic!("it never ends: {:?}", record.states);
+}
+
+#[test]
+fn all_are_worked_on_within_the_limits_replicas_first() {
+    for scheme in [Scheme::Named, Scheme::Spare, Scheme::Ahead] {
+        let (mut facts, limits) = (facts(6), Limits { scheme, ..limits() });
+        let first: Vec<bool> = facts.machines.iter().map(|of| of.primary).collect();
+        let mut seen = BTreeMap::new();
+        let end = carry_out(&mut facts, &limits, |step, states, facts| {
+            let out: Vec<&Fact> = states
+                .iter()
+                .zip(&facts.machines)
+                .filter(|(state, _)| state.counts())
+                .map(|(_, of)| of)
+                .collect();
+            assert!(out.len() <= limits.all, "{scheme:?}");
+            let zones: BTreeSet<u16> = out.iter().map(|of| of.zone).collect();
+            let groups: BTreeSet<u16> = out.iter().map(|of| of.group).collect();
+            assert!(zones.len() <= 1 && out.len() <= limits.zone && groups.len() == out.len(), "{scheme:?}");
+            assert!(out.iter().all(|of| !of.primary), "never a primary");
+            for (at, state) in states.iter().enumerate().filter(|(_, state)| state.is_out()) {
+                seen.entry(at).or_insert((step, *state));
+            }
+        });
+        assert!(end.states.iter().all(|state| *state == State::Back), "{scheme:?}: {:?}", end.states);
+        for (at, was_primary) in first.iter().enumerate().filter(|(_, primary)| **primary) {
+            let group = at / 3 * 3;
+            let before =
+                (group..group + 3).filter(|other| *other != at).all(|other| seen[&other].0 < seen[&at].0);
+            assert!(before && *was_primary, "{scheme:?}: replicas before their primary");
+        }
+    }
+}
+
+#[test]
+fn what_has_not_been_touched_comes_back_when_others_die() {
+    let (mut facts, limits) = (facts(6), limits());
+    let plan = plan(&facts);
+    let mut record = record(&plan);
+    let since = vec![Time(0); 18];
+    let go = |record: &Record, facts: &Facts, clear: bool| {
+        next(Time(0), &plan, record, &since, facts, &limits, &|_| clear)
+    };
+    let first = go(&record, &facts, false);
+    let out: Vec<usize> = (0..18).filter(|at| first.states[*at].is_leaving()).collect();
+    assert_eq!(out.len(), 2, "as many as a zone allows: {:?}", first.waits);
+    assert_eq!(first.waits.len(), 16, "each other has a reason");
+    record.states = first.states;
+    record.states[out[0]] = State::AtWork;
+    record.states[out[1]] = State::Free;
+    // A server of each of two other zones dies.
+    for zone in 0..3 {
+        let dies = facts.machines.iter().position(|of| {
+            of.zone == zone && !of.primary && !out.contains(&usize::from(of.group * 3 + zone))
+        });
+        facts.machines[dies.unwrap()].failing = true;
+    }
+    let hurt = go(&record, &facts, false);
+    assert_eq!(hurt.states[out[0]], State::AtWork, "work has begun: nobody can take that back");
+    assert_eq!(hurt.states[out[1]], State::Waiting);
+    assert_eq!(hurt.waits[&out[1]], Why::Hurts);
+    record.states = hurt.states;
+    let after = go(&record, &facts, false).states;
+    let went = (0..18).filter(|at| after[*at] != record.states[*at]);
+    assert!(
+        went.clone().all(|at| facts.machines[at].failing),
+        "nothing more goes out but what is dead: {after:?}"
+    );
+    // Forced by staff, it goes all the same, and stays.
+    record.states[out[1]] = State::Forced;
+    record.states = go(&record, &facts, false).states;
+    assert_eq!(record.states[out[1]], State::ForcedLeaving);
+    assert_eq!(go(&record, &facts, false).states, record.states);
+    assert_eq!(go(&record, &facts, true).states[out[1]], State::ForcedFree);
+}
+
+#[test]
+fn a_step_is_checked_against_the_load_and_what_can_never_be_is_refused() {
+    let (mut facts, limits) = (facts(2), limits());
+    let plan = plan(&facts);
+    let since = vec![Time(0); 6];
+    facts.loads = [(0, (50.0, 250.0)), (1, (150.0, 160.0))].into();
+    let next_of = |facts: &Facts, limits: &Limits| {
+        next(Time(0), &plan, &record(&plan), &since, facts, limits, &|_| false)
+    };
+    let next = next_of(&facts, &limits);
+    let why: Vec<_> = next.waits.values().filter(|why| matches!(why, Why::Capacity(..))).collect();
+    assert_eq!(
+        why,
+        [&Why::Capacity(200.0, 250.0), &Why::Capacity(200.0, 250.0)],
+        "the peak counts: {:?}",
+        next.waits
+    );
+    assert!(next.states[3..].iter().any(|state| state.is_leaving()), "the other group has room");
+    assert!(possible(&plan, &facts, &limits).is_ok(), "the load will not always be so");
+    let never = possible(&plan, &facts, &Limits { warm: 2, ..limits.clone() });
+    assert_eq!(never, Err((0, Why::Warm(1))));
+    assert_eq!(possible(&plan, &facts, &Limits { zone: 0, ..limits.clone() }), Err((0, Why::Zone(0))));
+    // The only warm replica stays; a primary that changes holds its group.
+    facts.loads.clear();
+    facts.machines[1].warm = false;
+    facts.changing.insert(1);
+    let next = next_of(&facts, &Limits { zones: 3, all: 9, group: 3, ..limits.clone() });
+    assert_eq!(next.waits[&2], Why::Warm(0));
+    assert_eq!((&next.waits[&4], &next.waits[&0]), (&Why::Changing, &Why::Replicas));
+    facts.quiet = true;
+    assert!(next_of(&facts, &limits).waits.values().all(|why| *why == Why::Quiet));
+}
+
+#[test]
+fn poolers_go_one_zone_at_a_time_and_one_voter_at_a_time() {
+    let of = |number: u64| Fact {
+        machine: number,
+        zone: number as u16 % 2,
+        serves: true,
+        warm: true,
+        ..Fact::default()
+    };
+    let facts = Facts { machines: (0..10).map(of).collect(), voters: [0, 2, 4].into(), ..Facts::default() };
+    let plan = Plan { kind: Kind::Poolers, machines: (0..10).collect(), nonce: 1 };
+    let limits = Limits { all: 4, zone: 4, ..limits() };
+    let next = next(Time(0), &plan, &record(&plan), &[Time(0); 10], &facts, &limits, &|_| false);
+    let out: Vec<usize> = (0..10).filter(|at| next.states[*at].is_out()).collect();
+    assert_eq!(out, [0, 6, 8], "{:?}", next.waits);
+    assert_eq!((&next.waits[&2], &next.waits[&1]), (&Why::Voters, &Why::Zones(1)));
+}
+
+/// A pooler of the fleet, with what it has under way.
+struct Pooler {
+    work: Work<Whole>,
+    who: Who,
+    /// Requests under way end then, by machine.
+    busy: BTreeMap<u64, Time>,
+}
+
+struct Fleet {
+    now: Time,
+    count: u16,
+    rng: ChaCha8Rng,
+    poolers: Vec<Option<Pooler>>,
+    letters: Vec<(Time, Who, u16, Note)>,
+    lives: u64,
+    /// By whom the lease may be thought to be held, with which token.
+    holders: BTreeMap<u16, Token>,
+    facts: Facts,
+    /// Machines that somebody works on, and until when.
+    at_work: BTreeMap<u64, Time>,
+    worked: BTreeSet<u64>,
+    sends_to_work: usize,
+    most_out: usize,
+    cut: BTreeSet<u16>,
+    lost: u32,
+}
+
+impl Fleet {
+    fn new(count: u16, seed: u64, groups: u16) -> Self {
+        let mut fleet = Self {
+            now: Time(0),
+            count,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            poolers: (0..count).map(|_| None).collect(),
+            letters: Vec::new(),
+            lives: 0,
+            holders: BTreeMap::new(),
+            facts: facts(groups),
+            at_work: BTreeMap::new(),
+            worked: BTreeSet::new(),
+            sends_to_work: 0,
+            most_out: 0,
+            cut: BTreeSet::new(),
+            lost: 50,
+        };
+        (0..count).for_each(|number| fleet.start(number));
+        fleet
+    }
+
+    fn dice(&mut self, of: u32) -> u32 {
+        self.rng.next_u32() % of
+    }
+
+    fn start(&mut self, number: u16) {
+        self.lives += 1;
+        let who = Who { number, life: self.lives };
+        let setup = WorkSetup {
+            me: who,
+            seed: self.lives,
+            fleet: self.count,
+            voters: [0, 1, 2].into(),
+            previous: vec![],
+            every: EVERY,
+            hold: Span::millis(3_600_000),
+            limits: limits(),
+            poolers: limits(),
+        };
+        let work = Work::new(self.now, setup);
+        self.poolers[usize::from(number)] = Some(Pooler { work, who, busy: BTreeMap::new() });
+        self.holders.remove(&number);
+    }
+
+    fn kill(&mut self, number: u16) {
+        self.poolers[usize::from(number)] = None;
+        self.holders.remove(&number);
+    }
+
+    /// Ten milliseconds.
+    fn step(&mut self) {
+        self.now = Time(self.now.0 + 10_000);
+        let now = self.now;
+        let due: Vec<_> = self.letters.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, from, to, note) in due {
+            if self.cut.contains(&to) || self.cut.contains(&from.number) {
+                continue;
+            }
+            if let Some(pooler) = &mut self.poolers[usize::from(to)] {
+                pooler.work.hear(now, from, note);
+            }
+        }
+        // What a plan has out is out of service for everybody else's eyes too.
+        let (facts, mut banned) = (self.facts.clone(), BTreeMap::new());
+        let mut sent = Vec::new();
+        for number in 0..self.count {
+            let token = self.holders.get(&number).copied();
+            let send = self.rng.next_u32();
+            let Some(pooler) = &mut self.poolers[usize::from(number)] else { continue };
+            pooler.busy.retain(|_, until| *until > now);
+            let mut out = BTreeSet::new();
+            if let Some((plan, record)) = pooler.work.acts_on() {
+                out.extend(record.out().map(|at| plan.machines[at]));
+            }
+            out.iter().for_each(|of| *banned.entry(*of).or_insert(0) += 1);
+            if pooler.work.has_started() {
+                let machine = facts.machines[send as usize % facts.machines.len()].machine;
+                if !out.contains(&machine) {
+                    self.sends_to_work += usize::from(self.at_work.contains_key(&machine));
+                    pooler.busy.insert(machine, Time(now.0 + i64::from(send >> 8) % 80_000));
+                }
+            }
+            let clear = match pooler.work.acts_on() {
+                Some((plan, record)) => {
+                    Places::of(record.out().filter(|at| !pooler.busy.contains_key(&plan.machines[*at])))
+                }
+                None => Places::default(),
+            };
+            let holder = self.holders.iter().max_by_key(|(_, token)| **token).map(|(of, _)| *of);
+            let own = Own { token, holder, clear, clear_of: pooler.work.age(), ..Own::default() };
+            pooler.work.tick(now, &own, &|_| facts.clone());
+            let who = pooler.who;
+            sent.extend(pooler.work.take_letters().into_iter().map(|letter| (who, letter)));
+        }
+        // Out is what is worked on, and what most don't use; who was cut off learns late that one is back.
+        let half = self.poolers.iter().flatten().count() / 2;
+        let mut out_now: BTreeSet<u64> =
+            banned.into_iter().filter(|(_, by)| *by > half).map(|(of, _)| of).collect();
+        out_now.extend(self.at_work.keys().copied());
+        self.most_out = self.most_out.max(out_now.len());
+        for (who, (to, note)) in sent {
+            let To::One(to) = to else { panic!("work is told one by one") };
+            for _ in 0..if self.dice(50) == 0 { 2 } else { 1 } {
+                let late = i64::from(self.dice(30_000));
+                if self.dice(1_000) >= self.lost {
+                    self.letters.push((Time(now.0 + late), who, to as u16, note.clone()));
+                }
+            }
+        }
+        self.hand_over();
+    }
+
+    /// The primary moves where that is asked for.
+    fn hand_over(&mut self) {
+        let handing: Vec<u64> = self
+            .poolers
+            .iter()
+            .flatten()
+            .filter_map(|pooler| pooler.work.acts_on())
+            .flat_map(|(plan, record)| {
+                let places = record.states.iter().enumerate().filter(|(_, state)| **state == State::Handing);
+                places.map(|(at, _)| plan.machines[at]).collect::<Vec<_>>()
+            })
+            .collect();
+        for machine in handing {
+            let of = self.facts.machines.iter().position(|of| of.machine == machine).unwrap();
+            if self.facts.machines[of].primary {
+                let group = self.facts.machines[of].group;
+                let heir =
+                    self.facts.machines.iter().position(|of| of.group == group && !of.primary).unwrap();
+                self.facts.machines[of].primary = false;
+                self.facts.machines[heir].primary = true;
+            }
+        }
+    }
+
+    /// Somebody else takes the lease. The one before may go on believing that it is his.
+    fn elect(&mut self, also: bool) {
+        let token = Token(self.holders.values().map(|token| token.0).max().unwrap_or(0).max(self.lives) + 1);
+        self.lives = self.lives.max(token.0);
+        let able: Vec<u16> = (0..self.count)
+            .filter(|of| {
+                self.poolers[usize::from(*of)].as_ref().is_some_and(|pooler| pooler.work.has_started())
+            })
+            .collect();
+        if able.is_empty() {
+            return;
+        }
+        let next = able[self.dice(able.len() as u32) as usize];
+        if !also {
+            self.holders.clear();
+        }
+        self.holders.insert(next, token);
+    }
+
+    fn view(&self) -> Option<View> {
+        let leads = |pooler: &&Pooler| pooler.work.view(self.now).leads;
+        self.poolers.iter().flatten().find(leads).map(|pooler| pooler.work.view(self.now))
+    }
+
+    /// Waits for a call's outcome, with steps of the fleet.
+    fn call(&mut self, at: u16, verb: Verb, plan: PlanId, place: usize) -> Option<Said> {
+        let now = self.now;
+        let pooler = self.poolers[usize::from(at)].as_mut()?;
+        let call = pooler.work.call(now, verb, plan, place as u16)?;
+        for _ in 0..400 {
+            self.step();
+            let said = self.poolers[usize::from(at)].as_mut().and_then(|pooler| pooler.work.said(call));
+            if said.is_some() {
+                return said;
+            }
+        }
+        None
+    }
+
+    /// Works on what is free, and says so at any pooler.
+    fn work(&mut self, lasts: i64) {
+        let Some(view) = self.view() else { return };
+        let over: Vec<u64> =
+            self.at_work.iter().filter(|(_, until)| **until <= self.now).map(|(of, _)| *of).collect();
+        for machine in over {
+            // Work is done; from here on it may be used, whenever that is known.
+            self.at_work.remove(&machine);
+            self.worked.insert(machine);
+        }
+        for (place, machine) in view.machines.iter().enumerate() {
+            let any = self.dice(u32::from(self.count)) as u16;
+            if machine.state.is_free() && !self.worked.contains(&machine.machine) {
+                if self.call(any, Verb::Begin, view.plan, place) == Some(Said::Done) {
+                    let until = Time(self.now.0 + lasts);
+                    self.at_work.entry(machine.machine).or_insert(until);
+                }
+                return;
+            }
+            if machine.state == State::AtWork && !self.at_work.contains_key(&machine.machine) {
+                // Its begin was not answered in time, or it is done.
+                self.worked.insert(machine.machine);
+                self.call(any, Verb::Done, view.plan, place);
+                return;
+            }
+        }
+    }
+}
+
+fn run(seed: u64) -> (usize, i64) {
+    let (count, groups) = (8, 3);
+    let mut fleet = Fleet::new(count, seed, groups);
+    for _ in 0..100 {
+        fleet.step();
+    }
+    fleet.elect(false);
+    let machines: Vec<u64> = fleet.facts.machines.iter().map(|of| of.machine).collect();
+    let now = fleet.now;
+    let (id, call) = fleet.poolers[5].as_mut().unwrap().work.submit(now, Kind::Servers, machines).unwrap();
+    for _ in 0..200 {
+        fleet.step();
+    }
+    assert_eq!(fleet.poolers[5].as_mut().unwrap().work.said(call), Some(Said::Done), "seed {seed}");
+    let mut dead: Option<(u16, Time)> = None;
+    let mut faults = 0;
+    while fleet.now < Time(600_000_000) {
+        fleet.step();
+        fleet.work(200_000);
+        if fleet.dice(60) == 0 && dead.is_none() {
+            faults += 1;
+            let any = fleet.dice(u32::from(count)) as u16;
+            match fleet.dice(4) {
+                0 => fleet.elect(false),
+                1 => fleet.elect(true),
+                2 => {
+                    fleet.kill(any);
+                    dead = Some((any, Time(fleet.now.0 + 300_000)));
+                    fleet.elect(false);
+                }
+                _ => {
+                    fleet.cut.insert(any);
+                    dead = Some((any, Time(fleet.now.0 + 500_000)));
+                    if fleet.dice(2) == 0 {
+                        fleet.elect(true);
+                    }
+                }
+            }
+        }
+        if let Some((of, _)) = dead.filter(|(_, until)| *until <= fleet.now) {
+            if !fleet.cut.remove(&of) {
+                fleet.start(of);
+            }
+            dead = None;
+        }
+        if fleet.holders.is_empty() || fleet.view().is_none() && fleet.dice(100) == 0 {
+            fleet.elect(false);
+        }
+        let over = fleet.view().is_some_and(|view| view.plan == id && view.mode == Mode::Over);
+        if over {
+            let view = fleet.view().unwrap();
+            assert!(view.machines.iter().all(|of| of.state == State::Back), "seed {seed}: {view:?}");
+            break;
+        }
+    }
+    assert_eq!(fleet.sends_to_work, 0, "seed {seed}: sent to a machine that was worked on");
+    assert!(fleet.most_out <= limits().all, "seed {seed}: {} were out", fleet.most_out);
+    assert_eq!(fleet.worked.len(), usize::from(groups * 3), "seed {seed}: {:?}", fleet.view());
+    (faults, fleet.now.0)
+}
+
+#[test]
+fn a_plan_is_carried_out_whoever_dies_and_nothing_is_sent_where_work_is_done() {
+    let mut faults = 0;
+    for seed in 0..40 {
+        faults += run(seed).0;
+    }
+    assert!(faults > 200, "{faults} faults were caused");
+}
+
+fn any_record() -> impl Strategy<Value = Record> {
+    let states = prop::collection::vec(0..State::ALL.len(), 0..=MOST_MACHINES);
+    (any::<u64>(), any::<u32>(), any::<u64>(), 0..4_usize, states).prop_map(
+        |(token, version, plan, mode, states)| Record {
+            token: Token(token),
+            version,
+            plan: PlanId(plan),
+            mode: Mode::ALL[mode],
+            states: states.into_iter().map(|of| State::ALL[of]).collect(),
+        },
+    )
+}
+
+fn any_note() -> impl Strategy<Value = Note> {
+    let numbers = prop::collection::vec(any::<u32>(), 0..=MOST_VOTERS);
+    let word = (
+        any::<[u64; 2]>(),
+        any::<u32>(),
+        prop::collection::btree_set(0..MOST_MACHINES, 0..40),
+        any::<bool>(),
+    );
+    let rest = (
+        prop::collection::vec(any::<u64>(), 0..=Word::MOST_FAILING),
+        prop::collection::vec(any::<[u16; 3]>(), 0..=Word::MOST_LOADS),
+    );
+    let part =
+        (any::<[u64; 2]>(), any::<bool>(), any::<[u16; 2]>(), prop::collection::vec(any::<u64>(), 0..=PART));
+    prop_oneof![
+        any::<(u32, u64, u32)>().prop_map(|(round, promise, own)| Note::Read {
+            round,
+            promise: Token(promise),
+            own
+        }),
+        (any::<(u32, u32, bool, u64)>(), any_record()).prop_map(|((round, own, blank, promised), record)| {
+            Note::Seen { round, own, blank, promised: Token(promised), record }
+        }),
+        (numbers, any_record()).prop_map(|(numbers, record)| Note::Write { numbers, record }),
+        any::<(u64, u32, u32, bool, u64)>().prop_map(|(token, version, own, refused, promised)| {
+            Note::Stored { token: Token(token), version, own, refused, promised: Token(promised) }
+        }),
+        any_record().prop_map(|record| Note::Tell { record }),
+        (word, rest, any::<u16>()).prop_map(
+            |(([plan, token], version, clear, blank), (failing, loads), zone)| {
+                let loads = loads.into_iter().map(|[group, now, peak]| Load { group, now, peak }).collect();
+                let (plan, token, clear) = (PlanId(plan), Token(token), Places::of(clear));
+                Note::Word(Word { plan, token, version, clear, blank, zone, failing, loads })
+            }
+        ),
+        any::<(u64, u16)>().prop_map(|(plan, at)| Note::Wants { plan: PlanId(plan), at }),
+        part.prop_map(|([plan, nonce], poolers, [count, at], machines)| Note::Part {
+            plan: PlanId(plan),
+            kind: if poolers { Kind::Poolers } else { Kind::Servers },
+            nonce,
+            count,
+            at,
+            machines
+        }),
+        (any::<(u32, u64, u16)>(), 0..8_usize).prop_map(|((call, plan, at), verb)| Note::Call {
+            call,
+            verb: Verb::ALL[verb],
+            plan: PlanId(plan),
+            at
+        }),
+        (any::<u32>(), 0..6_usize).prop_map(|(call, said)| Note::Reply { call, said: Said::ALL[said] }),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn letters_are_read_whole_or_refused(note in any_note(), cut in 0..300_usize, bytes in prop::collection::vec(any::<u8>(), 0..260)) {
+        let key = Key::new(b"the key of this test").unwrap();
+        let sender = Who { number: 3, life: 4 };
+        let letter = Letter { site: 1, version: 2, sender, number: 5, body: Body::Work(note) };
+        let sealed = seal(&letter, &key);
+        prop_assert!(sealed.len() <= linnetdeal_coordination::lease::LONGEST, "{} bytes", sealed.len());
+        prop_assert_eq!(open(&sealed, std::slice::from_ref(&key)), Ok(letter));
+        // Whoever has the key and sends anything is refused or read, and ends nothing.
+        let short = sealed.len().saturating_sub(16).min(cut);
+        let _ = open(&linnetdeal_coordination::lease::sign(sealed[..short].to_vec(), &key), std::slice::from_ref(&key));
+        let strange = [&sealed[..28], &bytes[..]].concat();
+        let _ = open(&linnetdeal_coordination::lease::sign(strange, &key), &[key]);
+    }
+}
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -15,6 +15,14 @@
 /// No more members than this may be out by hand.
 pub const MOST_BANS: usize = 10_000;
 
+/// What stands for a member's id where ids are too long to be told (FNV-1a, 64 bits).
+#[must_use]
+pub fn stands_for(id: &str) -> u64 {
+    id.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    })
+}
+
 /// A source of claims, in the order in which the host numbers them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SourceId(pub u8);
@@ -73,6 +81,8 @@
     pub zone: String,
     /// Whether the source holds it to be the primary.
     pub primary: bool,
+    /// The machine's type, as the source names it.
+    pub machine: String,
     /// When it last started; `None` for long ago or not told.
     pub started: Option<Time>,
     /// Its state.
@@ -139,6 +149,8 @@
     pub group: GroupId,
     /// Its zone.
     pub zone: String,
+    /// Its machine's type.
+    pub machine: String,
     /// Whether a source holds it to be the primary.
     pub primary: bool,
     /// When it last started.
@@ -195,6 +207,10 @@
     gone: BTreeSet<(Time, MemberId)>,
     /// Who was taken out by hand; this outlives what is known of them.
     banned: BTreeSet<MemberId>,
+    /// Who is out by a plan, by what stands for their ids, and since when those that came back from one count as cold. Both outlive
+    /// what is known of them, and neither ends what was done by hand.
+    planned: BTreeSet<u64>,
+    returned: BTreeMap<u64, Time>,
     remembers: Span,
     most_gone: usize,
 }
@@ -209,6 +225,8 @@
             members: BTreeMap::new(),
             gone: BTreeSet::new(),
             banned: BTreeSet::new(),
+            planned: BTreeSet::new(),
+            returned: BTreeMap::new(),
             remembers,
             most_gone,
         }
@@ -254,16 +272,58 @@
             self.banned.remove(member);
         }
         let mut taken = Taken::default();
-        if let Some(record) = self.members.get_mut(member) {
-            let known = with_ban(combine(&record.held), out);
-            if known != record.known {
-                taken.changed.push(told(member.clone(), &known));
-                record.known = known;
-            }
+        self.show(member, &mut taken);
+        taken
+    }
+
+    /// Says who is out by a plan from now on, all of them, by what stands for their ids; and who has come back from one `at` that
+    /// time and is to be used as a cold one, whatever the sources say of its start.
+    pub fn plan(&mut self, out: &BTreeSet<u64>, back: &[(u64, Time)]) -> Taken {
+        let mut touched: BTreeSet<u64> = self.planned.symmetric_difference(out).copied().collect();
+        self.planned = out.clone();
+        if self.returned.len() + back.len() > MOST_BANS {
+            self.returned.clear();
         }
+        self.returned.extend(back.iter().copied());
+        touched.extend(back.iter().map(|(of, _)| *of));
+        let members: Vec<MemberId> =
+            self.members.keys().filter(|id| touched.contains(&stands_for(&id.0))).cloned().collect();
+        let mut taken = Taken::default();
+        members.iter().for_each(|member| self.show(member, &mut taken));
         taken
     }
 
+    /// Whether a member would be in service if no plan had it out.
+    #[must_use]
+    pub fn serves_but_for_plans(&self, member: &MemberId) -> bool {
+        let of = self.members.get(member);
+        of.is_some_and(|record| combine(&record.held).state == ListState::Healthy)
+            && !self.banned.contains(member)
+    }
+
+    /// Tells of a member if what counts of it has changed.
+    fn show(&mut self, member: &MemberId, taken: &mut Taken) {
+        let Some(known) = self.members.get(member).map(|record| self.settle(member, &record.held)) else {
+            return;
+        };
+        let Some(record) = self.members.get_mut(member).filter(|record| record.known != known) else {
+            return;
+        };
+        taken.changed.push(told(member.clone(), &known));
+        record.known = known;
+    }
+
+    /// What counts of a member: what all sources say, and what was done by hand or by a plan.
+    fn settle(&self, member: &MemberId, held: &[(SourceId, Held)]) -> Known {
+        let known = with_ban(combine(held), self.banned.contains(member));
+        if self.planned.is_empty() && self.returned.is_empty() {
+            return known;
+        }
+        let mark = stands_for(&member.0);
+        let returned = self.returned.get(&mark).copied();
+        Known { started: known.started.max(returned), ..with_ban(known, self.planned.contains(&mark)) }
+    }
+
     /// Who is out by hand.
     pub fn banned(&self) -> impl Iterator<Item = &MemberId> {
         self.banned.iter()
@@ -394,7 +454,10 @@
         let record =
             entry.or_insert_with(|| Record { held: Vec::new(), known: Known::default(), gone_since: None });
         record.set(source, held);
-        let known = with_ban(combine(&record.held), self.banned.contains(&member));
+        let held = std::mem::take(&mut record.held);
+        let known = self.settle(&member, &held);
+        let Some(record) = self.members.get_mut(&member) else { return };
+        record.held = held;
         match (record.gone_since, known.state == ListState::Gone) {
             (None, true) => {
                 record.gone_since = Some(now);
@@ -452,6 +515,7 @@
         address: counted().find_map(|one| one.claim.address).or(all().find_map(|one| one.claim.address)),
         state,
         group: all().find_map(|one| one.claim.group).unwrap_or_default(),
+        machine: all().map(|one| &one.claim.machine).find(|of| !of.is_empty()).cloned().unwrap_or_default(),
         zone: all().map(|one| &one.claim.zone).find(|zone| !zone.is_empty()).cloned().unwrap_or_default(),
         primary: counted().any(|one| one.claim.primary),
         started: all().filter_map(|one| one.claim.started).max(),
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -22,6 +22,7 @@
         address: format!("127.0.0.1:{}", 7_000 + at % 50_000).parse().ok(),
         group: Some(GroupId(2)),
         zone: "adum".into(),
+        machine: String::new(),
         primary: false,
         started,
         state,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,6 +4,7 @@
 mod logging;
 mod members;
 mod registry;
+mod work;
 
 use clap::{Args, Parser, Subcommand};
 use linnetdeal_core::{Expected, Span};
@@ -42,6 +43,21 @@
         #[arg(long)]
         schema: bool,
     },
+    /// Say in which order a plan's machines would go out, without touching anything.
+    Work {
+        /// The plan, as it would be sent.
+        #[arg(long)]
+        plan: PathBuf,
+        /// The operator's file, with the limits.
+        #[arg(long, env = "LINNETDEAL_OPERATOR")]
+        operator: PathBuf,
+        /// The platform's configuration, with the list.
+        #[arg(long, env = "GW_CONFIG")]
+        config: PathBuf,
+        /// Nothing is touched; there is no other way yet.
+        #[arg(long, required = true)]
+        dry_run: bool,
+    },
     /// Ask the registry once, and print whom this pooler would believe to be a member.
     Members {
         /// The operator's file.
@@ -73,6 +89,7 @@
             Ok(())
         }
         Some(Command::Check { file, config, .. }) => check(file, config),
+        Some(Command::Work { plan, operator, config, .. }) => work::dry_run(&plan, &operator, &config),
         Some(Command::Members { operator, json }) => members::show(&operator, json),
     };
     match done {
@@ -116,11 +133,16 @@
         [operator.primary.planned, operator.primary.unplanned].map(|of| of.map(expected));
     logging::start(&operator.log);
     let (name, seed) = (config.name.clone(), config.seed);
-    let leases = match &operator.leases {
+    let mut leases = match &operator.leases {
         Some(settings) => Some(leases::wanted(settings, &config).map_err(End::config)?),
         None => None,
     };
-    let pooler = Pooler::new(config, path, leases).map_err(End::other)?;
+    let work = operator.work.as_ref().zip(leases.as_mut()).map(|(settings, leases)| {
+        let wanted = work::wanted(settings, &config, leases);
+        leases.setup.tasks.push(work::task(settings));
+        wanted
+    });
+    let pooler = Pooler::new(config, path, leases, work).map_err(End::other)?;
     match &operator.registry {
         None => pooler.run(std::future::ready(())),
         Some(settings) => {
--- a/crates/fleet/src/sim.rs
+++ b/crates/fleet/src/sim.rs
@@ -330,6 +330,7 @@
             address: None,
             group: Some(GroupId(i64::from(host.group))),
             zone: String::new(),
+            machine: String::new(),
             primary: change.primary,
             started: change.started,
             state: change.state,
--- a/crates/net/src/config.rs
+++ b/crates/net/src/config.rs
@@ -266,6 +266,8 @@
     #[serde(default)]
     zone: String,
     #[serde(default)]
+    machine_type: String,
+    #[serde(default)]
     cell: Option<f64>,
     #[serde(default)]
     lifecycle: String,
@@ -309,6 +311,7 @@
             primary: self.part.as_deref() == Some("master"),
             started: self.started_at_ms.filter(|ms| *ms > 0.0).map(|ms| Time(span(ms).0)),
             zone: self.zone.clone(),
+            machine: self.machine_type.clone(),
             evidence: Evidence { stamp: number, ..Evidence::default() },
         }
     }
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -21,9 +21,26 @@
     pub(crate) freed: Event,
 }
 
+/// What is open or under way at a member: connections, and attempts that may still open one.
+#[derive(Debug)]
+pub(crate) struct Presence(Rc<Cell<usize>>);
+
+impl Presence {
+    pub(crate) fn at(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for Presence {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// The right to one connection.
 #[derive(Debug)]
-pub(crate) struct Permit(pub(crate) Rc<Budget>);
+pub(crate) struct Permit(pub(crate) Rc<Budget>, #[allow(dead_code)] pub(crate) Presence);
 
 impl Drop for Permit {
     fn drop(&mut self) {
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -8,6 +8,7 @@
 use async_io::Timer;
 use futures_lite::future::{or, poll_fn};
 use linnetdeal_core::Router;
+use linnetdeal_core::handover::Phase;
 use linnetdeal_core::peers::To;
 use linnetdeal_core::*;
 use std::cell::{Cell, RefCell};
@@ -172,6 +173,25 @@
     }
 }
 
+impl Driver {
+    /// The members that are held to be primaries, by group, and the groups where that changes.
+    #[must_use]
+    pub fn primaries(&self) -> (HashMap<GroupId, MemberId>, Vec<GroupId>) {
+        let router = self.router.borrow();
+        let (mut primaries, mut changing) = (HashMap::new(), Vec::new());
+        for (group, change) in router.changes() {
+            if let Some(mark) = change.mark() {
+                primaries.insert(group, mark.clone());
+            }
+            let between = matches!(change.phase(), Phase::Without | Phase::Found | Phase::Releasing);
+            if change.mark().is_none() || between {
+                changing.push(group);
+            }
+        }
+        (primaries, changing)
+    }
+}
+
 /// What is known of each group's primary, with its latest turns.
 impl fmt::Display for Driver {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/net/src/leases.rs
+++ b/crates/net/src/leases.rs
@@ -19,6 +19,7 @@
 use linnetdeal_coordination::lease::{
     LeaseSetup, Node, Note, Position, Refused, Sound, TaskId, TaskSetup, Token, Who,
 };
+use linnetdeal_coordination::work;
 use linnetdeal_core::peers::To;
 use linnetdeal_core::{Event as News, Field, GroupId, ListState, MemberId, Span, Verdict};
 use serde_json::json;
@@ -425,6 +426,49 @@
         Ok(Called::Later(Token(highest.unwrap_or(token.0))))
     }
 
+    /// What others have said of machines out for work.
+    pub(crate) fn take_work(&self) -> Vec<(Who, work::Note)> {
+        self.node.borrow_mut().take_work()
+    }
+
+    /// Says something of machines out for work.
+    pub(crate) fn say(&self, letters: Vec<(To, work::Note)>) {
+        if letters.is_empty() {
+            return;
+        }
+        let mut node = self.node.borrow_mut();
+        letters.into_iter().for_each(|(to, note)| node.say(to, note));
+        drop(node);
+        self.flush();
+    }
+
+    /// Who holds a task, as far as is known.
+    pub(crate) fn holder(&self, name: &str) -> Option<u16> {
+        let view = self.node.borrow().view(clock::steady());
+        view.into_iter().find(|task| task.name == name)?.holder.map(|holder| holder.who.number)
+    }
+
+    /// Gives all tasks to others and takes no more part, or takes part again in those that are `wanted`.
+    pub(crate) fn abstain(&self, away: bool, wanted: &[TaskId]) {
+        let now = clock::steady();
+        let tasks: Vec<TaskId> = self.names.borrow().keys().copied().collect();
+        let mut node = self.node.borrow_mut();
+        for task in tasks {
+            if away {
+                node.abstain(now, task);
+            } else if wanted.contains(&task) {
+                node.acquire(now, task);
+            }
+        }
+        drop(node);
+        self.flush();
+    }
+
+    /// Wakes when something has come or changed.
+    pub(crate) fn listen(&self) -> event_listener::EventListener {
+        self.changed.listen()
+    }
+
     /// Hands on what the node wants sent and logged.
     fn flush(&self) {
         let mut node = self.node.borrow_mut();
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod signals;
 pub mod succession;
 pub mod upstream;
+pub mod work;
 
 use crate::config::Config;
 use async_executor::LocalExecutor;
@@ -50,6 +51,7 @@
 use std::time::Duration;
 use succession::Shared;
 use upstream::Pool;
+use work::{WorkWanted, Works};
 
 /// A process that takes another's place waits no longer for the first word of discovery.
 const FIRST_WORD: Duration = Duration::from_millis(500);
@@ -84,7 +86,12 @@
     /// # Errors
     ///
     /// When it can't listen, or signals can't be had.
-    pub fn new(config: Config, config_file: PathBuf, leases: Option<Wanted>) -> Result<Self, RunError> {
+    pub fn new(
+        config: Config,
+        config_file: PathBuf,
+        leases: Option<Wanted>,
+        work: Option<WorkWanted>,
+    ) -> Result<Self, RunError> {
         let (shown, life) = (Rc::new(Shown::default()), Rc::new(Life::default()));
         let counters = shown.counters.clone();
         let members = Rc::new(Members::default());
@@ -111,7 +118,6 @@
         let pool = Rc::new(Pool::new(members.clone(), counters.clone(), config.host, to_servers));
         let source = Rc::new(Source::new(config.discovery));
         let known = members.clone();
-        let feed = Feed::new(members, driver.clone());
         let seats = Seats::new(rest - most_upstream - spare_clients, spare_clients, sockets / 4);
         let seats = Rc::new(seats);
         let doubts = Rc::new(Doubts::default());
@@ -151,6 +157,21 @@
             executor.spawn(async move { run.run().await }).detach();
             leases
         });
+        let feed = Feed::new(known.clone(), driver.clone());
+        let works = work.zip(leases.clone()).map(|(wanted, leases)| {
+            let parts = work::Parts {
+                leases,
+                feed: feed.clone(),
+                members: known,
+                driver: driver.clone(),
+                pool: pool.clone(),
+                life: life.clone(),
+                seats: seats.clone(),
+                shared: shared.clone(),
+                executor: executor.clone(),
+            };
+            Rc::new(Works::new(wanted, parts))
+        });
         let handler = signals::Handler {
             executor: executor.clone(),
             life: life.clone(),
@@ -216,26 +237,38 @@
         // An older process goes on taking clients meanwhile; by the list that it was started with, this one would send
         // to servers that are long gone.
         let open = Rc::new(Flag::default());
-        if handed.is_some() {
-            let (open, heard) = (open.clone(), follower.heard());
-            let wait = or(async move { heard.raised().await }, async {
+        let first = handed.is_some().then(|| {
+            let heard = follower.heard();
+            or(async move { heard.raised().await }, async {
                 let _ = Timer::after(FIRST_WORD).await;
-            });
-            executor
-                .spawn(async move {
-                    wait.await;
-                    open.raise()
-                })
-                .detach();
-        } else {
+            })
+        });
+        if first.is_none() && works.is_none() {
             open.raise();
+        } else {
+            let (open, works) = (open.clone(), works.clone());
+            let wait = async move {
+                if let Some(first) = first {
+                    first.await;
+                }
+                // Nor is a client taken that might be sent where work is done.
+                if let Some(works) = works {
+                    works.started().await;
+                }
+                open.raise();
+            };
+            executor.spawn(wait).detach();
+        }
+        if let Some(works) = &works {
+            executor.spawn(works.clone().run()).detach();
         }
         if let Some(address) = config.operator {
             let calls = operation::listen(address).map_err(|error| RunError::Listen(address, error))?;
             let (executor, life, feed) = (executor.clone(), life.clone(), feed.clone());
             let (shared, open, leases) = (shared.clone(), open.clone(), leases.clone());
             let executor_of = executor.clone();
-            let desk = operation::Desk { executor: executor_of, life, feed, shared, open, leases };
+            let works = works.clone();
+            let desk = operation::Desk { executor: executor_of, life, feed, shared, open, leases, works };
             let desk = Rc::new(desk);
             executor.spawn(operation::run(desk, calls)).detach();
         }
--- a/crates/net/src/members.rs
+++ b/crates/net/src/members.rs
@@ -5,6 +5,7 @@
 use linnetdeal_core::succession::Changes;
 use linnetdeal_core::*;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -35,6 +36,18 @@
         self.0.borrow().get(member).and_then(|known| known.address)
     }
 
+    /// A member's group.
+    #[must_use]
+    pub fn group(&self, member: &MemberId) -> Option<GroupId> {
+        self.0.borrow().get(member).map(|known| known.group)
+    }
+
+    /// Whether a member would take new work if no plan had it out.
+    #[must_use]
+    pub fn serves_but_for_plans(&self, member: &MemberId) -> bool {
+        self.0.borrow().serves_but_for_plans(member)
+    }
+
     /// Whether a member takes new work.
     #[must_use]
     pub fn in_service(&self, member: &MemberId) -> bool {
@@ -83,6 +96,13 @@
         known
     }
 
+    /// Says who is out by a plan from now on, and who has come back from one.
+    pub fn by_plan(&self, out: &BTreeSet<u64>, back: &[u64]) {
+        let back: Vec<_> = back.iter().map(|of| (*of, self.now())).collect();
+        let taken = self.members.0.borrow_mut().plan(out, &back);
+        self.changed(taken.changed);
+    }
+
     /// Takes over what another process of this pooler was told by hand.
     pub fn by_word(&self, changes: &Changes) {
         let out = changes.out.iter().map(|member| (member, true));
--- a/crates/net/src/operation.rs
+++ b/crates/net/src/operation.rs
@@ -6,12 +6,14 @@
 use crate::life::Life;
 use crate::members::Feed;
 use crate::succession::{LONGEST_ID, Shared};
+use crate::work::Works;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future::or;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::{Method, Request, Response, StatusCode};
+use linnetdeal_coordination::work::Verb;
 use linnetdeal_core::MemberId;
 use smol_hyper::rt::FuturesIo;
 use std::cell::Cell;
@@ -28,6 +30,8 @@
 const MOST_CALLERS: usize = 32;
 /// No head of a call is longer, in bytes.
 const LONGEST_CALL: usize = 16 * 1024;
+/// No plan is longer, in bytes.
+const LONGEST_PLAN: usize = 64 * 1024;
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// What calls act on.
@@ -41,6 +45,8 @@
     pub(crate) open: Rc<Flag>,
     /// The tasks of the whole fleet, where there are any.
     pub(crate) leases: Option<Rc<Leases>>,
+    /// Machines out for work, where the poolers see to it.
+    pub(crate) works: Option<Rc<Works>>,
 }
 
 /// Opens the address.
@@ -74,9 +80,21 @@
     }
 }
 
+fn said(outcome: Result<String, (u16, String)>) -> (StatusCode, String) {
+    match outcome {
+        Ok(words) => (StatusCode::OK, words),
+        Err((status, words)) => (StatusCode::from_u16(status).unwrap_or(StatusCode::CONFLICT), words),
+    }
+}
+
 async fn answer(desk: &Desk, stream: Async<TcpStream>) {
     let service = hyper::service::service_fn(|call: Request<Incoming>| async move {
-        let (status, words) = desk.call(call.method(), call.uri().path());
+        let (head, body) = call.into_parts();
+        let path = head.uri.path();
+        let (status, words) = match path.strip_prefix("/-/work") {
+            Some(rest) => desk.work(&head.method, rest, body).await,
+            None => desk.call(&head.method, path),
+        };
         let mut answer = Response::new(Full::new(Bytes::from(format!("{words}\n"))));
         *answer.status_mut() = status;
         Ok::<_, Infallible>(answer)
@@ -114,6 +132,9 @@
             ["ready"] if self.life.drained.since().is_some() => {
                 no(StatusCode::SERVICE_UNAVAILABLE, "drained")
             }
+            ["ready"] if self.works.as_ref().is_some_and(|works| !works.has_started()) => {
+                no(StatusCode::SERVICE_UNAVAILABLE, "not known yet which machines are out for work")
+            }
             ["ready"] if !self.open.is_up() || !self.feed.serves() => {
                 no(StatusCode::SERVICE_UNAVAILABLE, "no list of servers yet")
             }
@@ -146,6 +167,42 @@
         }
     }
 
+    /// Calls about machines out for work.
+    async fn work(&self, method: &Method, rest: &str, body: Incoming) -> (StatusCode, String) {
+        let no = |status, words: &str| (status, words.to_owned());
+        let Some(works) = &self.works else { return no(StatusCode::NOT_FOUND, "work is off here") };
+        let parts: Vec<&str> = rest.split('/').skip(1).collect();
+        let verb = |word: &str| match word {
+            "pause" => Some((Verb::Pause, false)),
+            "resume" => Some((Verb::Resume, false)),
+            "cancel" => Some((Verb::Cancel, false)),
+            "skip" => Some((Verb::Skip, true)),
+            "force" => Some((Verb::Force, true)),
+            "begin" => Some((Verb::Begin, true)),
+            "done" => Some((Verb::Done, true)),
+            _ => None,
+        };
+        let (verb, machine) = match parts[..] {
+            [] if *method == Method::GET => return (StatusCode::OK, works.shown()),
+            [] if *method == Method::POST => {
+                let body = match Limited::new(body, LONGEST_PLAN).collect().await {
+                    Ok(body) => body.to_bytes(),
+                    Err(error) => return no(StatusCode::BAD_REQUEST, &format!("the plan: {error}")),
+                };
+                return said(works.submit(&body).await);
+            }
+            [] => return no(StatusCode::METHOD_NOT_ALLOWED, "this call is made by GET or POST"),
+            [what] => (verb(what).filter(|(_, one)| !one), None),
+            [machine, what] => (verb(what).filter(|(_, one)| *one), Some(machine)),
+            _ => (None, None),
+        };
+        let Some((verb, _)) = verb else { return no(StatusCode::NOT_FOUND, "no such call") };
+        if *method != Method::POST {
+            return no(StatusCode::METHOD_NOT_ALLOWED, "this call is made by POST");
+        }
+        said(works.by_hand(verb, machine).await)
+    }
+
     fn server(&self, id: &str, out: bool) -> (StatusCode, String) {
         let known = id.len() <= LONGEST_ID && self.feed.by_hand(&MemberId(Arc::from(id)), out);
         if !known {
--- a/crates/net/src/succession.rs
+++ b/crates/net/src/succession.rs
@@ -20,6 +20,8 @@
 const NEWEST: &str = "linnetdeal.newest";
 /// Each process holds a lock on a file of its own for as long as it lives; the system takes it away however the process ends.
 const ALIVE: &str = "linnetdeal.alive";
+/// What processes of this pooler know to be out by a plan.
+const WORK: &str = "linnetdeal.work";
 /// How often it is looked; nothing new goes to a server 0.25 s after the other process has said yes to a call.
 const LOOK: Duration = Duration::from_millis(50);
 /// A folder that changed less long ago may have changed once more within one tick of the file system's clock.
@@ -36,6 +38,7 @@
     own: String,
     bans: RefCell<Bans>,
     seen: Cell<Option<SystemTime>>,
+    seen_work: Cell<Option<SystemTime>>,
     /// The own lock, while this lives.
     alive: RefCell<Option<File>>,
 }
@@ -51,7 +54,7 @@
         let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         let own = format!("{}-{}", std::process::id(), now.as_nanos());
         let (bans, seen, alive) = (RefCell::default(), Cell::new(None), RefCell::default());
-        Ok(Self { folder: folder.to_owned(), own, bans, seen, alive })
+        Ok(Self { folder: folder.to_owned(), own, bans, seen, seen_work: Cell::new(None), alive })
     }
 
     /// Says that this process is the newest.
@@ -67,7 +70,10 @@
                 let _ = std::fs::remove_file(entry.path());
             }
         }
-        *self.alive.borrow_mut() = Some(lock(&self.alive_file(&self.own))?);
+        // Others only look whether they can have it.
+        let own = File::options().create(true).append(true).open(self.alive_file(&self.own))?;
+        flock(&own, FlockOperation::LockExclusive)?;
+        *self.alive.borrow_mut() = Some(own);
         let beside = self.folder.join(format!("{NEWEST}.{}", self.own));
         std::fs::write(&beside, &self.own)?;
         std::fs::rename(&beside, self.folder.join(NEWEST))
@@ -96,6 +102,50 @@
         file.is_ok_and(|file| flock(&file, FlockOperation::NonBlockingLockExclusive).is_ok())
     }
 
+    /// Whether no other process of this pooler lives, and this one has its lock.
+    #[must_use]
+    pub fn is_alone(&self) -> bool {
+        if self.alive.borrow().is_none() {
+            return false;
+        }
+        let Ok(files) = std::fs::read_dir(&self.folder) else { return false };
+        let own = self.alive_file(&self.own);
+        files.flatten().all(|file| {
+            let of = file.file_name();
+            let other = of.to_str().is_some_and(|name| name.starts_with(ALIVE)) && file.path() != own;
+            !other || lock(&file.path()).is_ok()
+        })
+    }
+
+    /// Whether another process of this pooler lives.
+    #[must_use]
+    pub fn lives_beside(&self) -> bool {
+        self.alive.borrow().is_some() && !self.is_alone()
+    }
+
+    /// Writes down what this process knows to be out by a plan, whole or not at all.
+    ///
+    /// # Errors
+    ///
+    /// When the file system refuses.
+    pub fn put_work(&self, bytes: &[u8]) -> io::Result<()> {
+        let beside = self.folder.join(format!("{WORK}.{}", self.own));
+        std::fs::write(&beside, bytes)?;
+        std::fs::rename(&beside, self.folder.join(WORK))
+    }
+
+    /// What some process of this pooler has written down of that, if it has changed since this was asked.
+    #[must_use]
+    pub fn look_work(&self) -> Option<Vec<u8>> {
+        let path = self.folder.join(WORK);
+        let modified = std::fs::metadata(&path).ok()?.modified().ok()?;
+        if self.seen_work.get() == Some(modified) && modified.elapsed().is_ok_and(|age| age > SETTLED) {
+            return None;
+        }
+        self.seen_work.set(Some(modified));
+        std::fs::read(path).ok()
+    }
+
     /// Writes down that a server is out by hand, or takes that away.
     ///
     /// # Errors
@@ -156,7 +206,7 @@
 }
 
 fn lock(path: &Path) -> io::Result<File> {
-    let file = File::options().create(true).append(true).open(path)?;
+    let file = File::open(path)?;
     flock(&file, FlockOperation::NonBlockingLockExclusive)?;
     Ok(file)
 }
--- a/crates/net/src/upstream.rs
+++ b/crates/net/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use super::alarms::Alarms;
 use super::buffer::{ReadBuffer, write_all};
-use super::connection::{Budget, Connection, Look, Lost, MARK, Permit, shortage};
+use super::connection::{Budget, Connection, Look, Lost, MARK, Permit, Presence, shortage};
 use super::counters::Counters;
 use super::members::Members;
 use super::pg::{self, Code, Notes, Part};
@@ -144,6 +144,19 @@
     trust: RefCell<Trust>,
     alarms: Alarms,
     started: Instant,
+    /// What is open or under way, by member.
+    present: RefCell<HashMap<MemberId, Rc<Cell<usize>>>>,
+    /// Where somebody wants to know what is sent and what fails.
+    meter: RefCell<Option<Meter>>,
+}
+
+/// What is sent, by group, and members that fail, with how many attempts in a row they have failed.
+#[derive(Debug, Default)]
+pub(crate) struct Meter {
+    /// Attempts so far.
+    pub(crate) sent: HashMap<GroupId, u64>,
+    /// Attempts in a row that found nobody; at most as many as there are members.
+    pub(crate) failed: HashMap<MemberId, u32>,
 }
 
 impl Pool {
@@ -160,6 +173,45 @@
             trust: RefCell::default(),
             alarms: Alarms::default(),
             started: Instant::now(),
+            present: RefCell::default(),
+            meter: RefCell::default(),
+        }
+    }
+
+    /// Counts what is sent and what fails from now on.
+    pub(crate) fn measure(&self) {
+        self.meter.borrow_mut().get_or_insert_default();
+    }
+
+    /// What was counted.
+    pub(crate) fn measured<T>(&self, look: impl FnOnce(&mut Meter) -> T) -> Option<T> {
+        self.meter.borrow_mut().as_mut().map(look)
+    }
+
+    /// Whether nothing is out, idle or being opened at a member.
+    #[must_use]
+    pub fn is_clear(&self, member: &MemberId) -> bool {
+        self.present.borrow().get(member).is_none_or(|count| count.get() == 0)
+    }
+
+    fn present(&self, member: &MemberId) -> Presence {
+        Presence::at(self.present.borrow_mut().entry(member.clone()).or_default())
+    }
+
+    fn note(&self, member: &MemberId, sent: bool, verdict: Verdict) {
+        let mut meter = self.meter.borrow_mut();
+        let Some(meter) = meter.as_mut() else { return };
+        if sent {
+            if let Some(group) = self.members.group(member) {
+                *meter.sent.entry(group).or_default() += 1;
+            }
+        }
+        match verdict {
+            Verdict::ConnectFailed | Verdict::Unreachable => {
+                *meter.failed.entry(member.clone()).or_default() += 1
+            }
+            Verdict::Moot | Verdict::Broken | Verdict::Timeout | Verdict::Reset | Verdict::Cancelled => {}
+            _ => drop(meter.failed.remove(member)),
         }
     }
 
@@ -178,6 +230,7 @@
                 !connections.is_empty()
             });
             self.trust.borrow_mut().forget(self.now());
+            self.present.borrow_mut().retain(|_, count| Rc::strong_count(count) > 1);
         }
     }
 
@@ -236,7 +289,7 @@
 
     /// Room for one more connection, made by closing an idle one if need be. It waits while there is none:
     /// the own shortage must not look like the member's failure.
-    async fn permit(&self) -> Permit {
+    async fn permit(&self, member: &MemberId) -> Permit {
         while self.budget.used.get() >= self.budget.most && !self.close_one_idle() {
             self.counters.short.add();
             let freed = self.budget.freed.listen();
@@ -246,7 +299,7 @@
             .await;
         }
         self.budget.used.set(self.budget.used.get() + 1);
-        Permit(self.budget.clone())
+        Permit(self.budget.clone(), self.present(member))
     }
 
     /// A connection for one request, and how it was come by: `None` if it is a new one.
@@ -281,7 +334,7 @@
                 }
             }
             stage.set(Stage::Waiting);
-            let permit = self.permit().await;
+            let permit = self.permit(member).await;
             stage.set(Stage::Dialing);
             match bounded(&self.alarms, self.host.dial_timeout, self.dial(member, permit)).await {
                 // The system is out of something though the budget is not: wait, and let an idle one go.
@@ -339,6 +392,10 @@
         stage: &Cell<Stage>,
         kept: &Cell<bool>,
     ) -> Result<(Connection, Exchange), Lost> {
+        // Who has been taken out since is not even called: work may begin there as soon as nothing is under way.
+        if !self.members.in_service(member) {
+            return Err(Lost::Withdrawn);
+        }
         let (mut connection, reuse) = self.connection(member, once, stage).await?;
         // The list may have changed while the connection was opened; nothing new goes to who drains or is gone.
         if !self.members.in_service(member) {
@@ -373,6 +430,7 @@
         once: bool,
     ) -> Result<(Connection, Exchange), Verdict> {
         let (stage, kept) = (Cell::new(Stage::Waiting), Cell::new(false));
+        let _present = self.present(member);
         let answer = async { Some(self.exchange(member, query, once, &stage, &kept).await) };
         let limit = async {
             self.alarms.at(Instant::now() + wait).await;
@@ -402,8 +460,12 @@
         let mut query = Vec::with_capacity(32);
         pg::write::query(&mut query, "SHOW gauges");
         match self.within(PROBE_WAIT, member, &[&query], false).await {
-            Err(verdict) => (verdict, None),
+            Err(verdict) => {
+                self.note(member, false, verdict);
+                (verdict, None)
+            }
             Ok((mut connection, exchange)) => {
+                self.note(member, false, exchange.verdict);
                 let value = exchange.value.and_then(|at| connection.buffer.data().get(at));
                 let text = value.and_then(|value| std::str::from_utf8(value).ok());
                 let report = text.and_then(|text| pg::report(text, &self.host.report));
@@ -490,8 +552,12 @@
         let after = &query.bytes[query.wait.end..query.whole.end];
         let head = pg::write::query_head(before.len() + digits.len() + after.len());
         match self.within(wait, member, &[&head, before, digits.as_bytes(), after], query.once).await {
-            Err(verdict) => Ended::without_answer(verdict),
+            Err(verdict) => {
+                self.note(member, true, verdict);
+                Ended::without_answer(verdict)
+            }
             Ok((mut connection, exchange)) => {
+                self.note(member, true, exchange.verdict);
                 let Exchange { verdict, notes, pieces, large, size, ready, .. } = exchange;
                 let mut reply = (verdict == Verdict::Ok).then(|| {
                     let (bytes, at) = connection.buffer.detach(size);
--- /dev/null
+++ b/crates/net/src/work.rs
@@ -0,0 +1,785 @@
+//! Machines out for work: the host of `linnetdeal-coordination`'s desk. It brings what this process knows of members, clients and
+//! load, and does what the record of the plan says: servers that are out get nothing new, a pooler that is out is emptied.
+
+use crate::clock;
+use crate::config::duration;
+use crate::driver::Driver;
+use crate::leases::Leases;
+use crate::life::Life;
+use crate::members::{Feed, Members};
+use crate::seats::Seats;
+use crate::succession::Shared;
+use crate::upstream::Pool;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::future::or;
+use http_body_util::Empty;
+use hyper::body::Bytes;
+use hyper::{Request, Response};
+use linnetdeal_coordination::lease::{TaskId, Token};
+use linnetdeal_coordination::work::*;
+use linnetdeal_core::membership::stands_for;
+use linnetdeal_core::{GroupId, ListState, MemberId, Span, Time};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use smol_hyper::rt::FuturesIo;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The task whose holder takes the steps.
+pub const TASK: &str = "work";
+/// So many attempts in a row that find nobody mean that a server fails this pooler.
+const FAILED: u32 = 3;
+/// So many poolers that say so count as one that sees it itself.
+const WITNESSES: usize = 2;
+/// A call of staff's waits so long for its outcome.
+const CALL: Duration = Duration::from_millis(1_500);
+const LOOK: Duration = Duration::from_millis(10);
+/// How often it is looked, at most; other processes of this pooler learn within twice of this.
+const TURN: Duration = Duration::from_millis(50);
+/// A hand-over is asked for again so often until it is made.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
+/// The load is counted by the minute, for an hour.
+const MINUTE: Span = Span::millis(60_000);
+const HOUR: usize = 60;
+/// The load of now is that of so many words' time.
+const NOW: i64 = 2;
+
+/// What an operator wants.
+#[derive(Clone, Debug)]
+pub struct WorkWanted {
+    /// This pooler's part, with the limits for servers.
+    pub setup: WorkSetup,
+    /// Requests a second that machines bear, by type; "" for all others.
+    pub capacity: BTreeMap<String, f64>,
+    /// Minutes of the day, in UTC, in which nothing begins.
+    pub quiet: Vec<(u16, u16)>,
+    /// What is called to have another primary.
+    pub handover: Option<(SocketAddr, String)>,
+    /// A machine that is out for longer is told of.
+    pub longest: Duration,
+    /// This pooler's zone.
+    pub zone: String,
+    /// Tasks that this pooler takes part in.
+    pub tasks: Vec<TaskId>,
+}
+
+/// What staff send.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Asked {
+    /// Servers that need work.
+    #[serde(default)]
+    pub servers: Option<AskedServers>,
+    /// Poolers whose machines do.
+    #[serde(default)]
+    pub poolers: Option<AskedPoolers>,
+}
+
+/// Which servers: by id, or all of a zone, of a type, or of both.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct AskedServers {
+    /// By id.
+    #[serde(default)]
+    pub ids: Vec<String>,
+    /// Of this zone.
+    #[serde(default)]
+    pub zone: Option<String>,
+    /// Of this type.
+    #[serde(default)]
+    pub machine: Option<String>,
+    /// All.
+    #[serde(default)]
+    pub all: bool,
+}
+
+/// Which poolers: by number, or all.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct AskedPoolers {
+    /// By number.
+    #[serde(default)]
+    pub numbers: Vec<u16>,
+    /// All.
+    #[serde(default)]
+    pub all: bool,
+}
+
+/// A server, as a plan chooses it.
+#[derive(Clone, Debug, Default)]
+pub struct Choosable {
+    /// Its id.
+    pub id: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its type.
+    pub machine: String,
+}
+
+impl Asked {
+    /// Reads what staff send.
+    ///
+    /// # Errors
+    ///
+    /// When it is no such JSON, with the place of the fault.
+    pub fn read(bytes: &[u8]) -> Result<Self, String> {
+        serde_json::from_slice(bytes).map_err(|error| format!("the plan can't be read: {error}"))
+    }
+
+    /// Which machines are meant.
+    ///
+    /// # Errors
+    ///
+    /// When none is, one is not known, or two kinds are; in words.
+    pub fn machines(&self, servers: &[Choosable], fleet: u16) -> Result<(Kind, Vec<u64>), String> {
+        match (&self.servers, &self.poolers) {
+            (Some(_), Some(_)) => Err("a plan is of servers or of poolers, not of both".to_owned()),
+            (None, None) => Err("the plan names no machine".to_owned()),
+            (Some(of), None) => {
+                let by = usize::from(!of.ids.is_empty())
+                    + usize::from(of.zone.is_some() || of.machine.is_some())
+                    + usize::from(of.all);
+                if by != 1 {
+                    return Err("name servers by ids, by zone and machine type, or all".to_owned());
+                }
+                if let Some(id) = of.ids.iter().find(|id| !servers.iter().any(|server| server.id == **id)) {
+                    return Err(format!("no server of the id {id} is listed"));
+                }
+                let mut machines: Vec<u64> = of.ids.iter().map(|id| stands_for(id)).collect();
+                if of.ids.is_empty() {
+                    let fits = |server: &&Choosable| {
+                        of.zone.as_ref().is_none_or(|zone| *zone == server.zone)
+                            && of.machine.as_ref().is_none_or(|machine| *machine == server.machine)
+                    };
+                    machines = servers.iter().filter(fits).map(|server| stands_for(&server.id)).collect();
+                }
+                let twins = servers.iter().any(|one| {
+                    servers
+                        .iter()
+                        .any(|other| one.id != other.id && stands_for(&one.id) == stands_for(&other.id))
+                });
+                match machines.is_empty() {
+                    _ if twins => Err("two servers' ids can't be told apart in a datagram".to_owned()),
+                    true => Err("no server fits the plan".to_owned()),
+                    false => Ok((Kind::Servers, machines)),
+                }
+            }
+            (None, Some(of)) => {
+                if of.all == !of.numbers.is_empty() {
+                    return Err("name poolers by numbers, or all".to_owned());
+                }
+                if let Some(number) = of.numbers.iter().find(|number| **number >= fleet) {
+                    return Err(format!("there is no pooler {number}, the platform names {fleet}"));
+                }
+                let numbers = if of.all { (0..fleet).collect() } else { of.numbers.clone() };
+                Ok((Kind::Poolers, numbers.into_iter().map(u64::from).collect()))
+            }
+        }
+    }
+}
+
+/// What stands for a zone in a datagram.
+#[must_use]
+pub fn zone_mark(zone: &str) -> u16 {
+    (stands_for(zone) >> 16) as u16
+}
+
+/// The load by group, by the minute.
+#[derive(Debug, Default)]
+struct Loads {
+    seen: BTreeMap<GroupId, (u64, u64)>,
+    rates: BTreeMap<GroupId, (f64, VecDeque<f64>)>,
+    at: Time,
+    minute: Time,
+}
+
+/// What the decisions act on.
+pub(crate) struct Parts {
+    pub(crate) leases: Rc<Leases>,
+    pub(crate) feed: Feed,
+    pub(crate) members: Rc<Members>,
+    pub(crate) driver: Rc<Driver>,
+    pub(crate) pool: Rc<Pool>,
+    pub(crate) life: Rc<Life>,
+    pub(crate) seats: Rc<Seats>,
+    pub(crate) shared: Option<Rc<Shared>>,
+    pub(crate) executor: Rc<LocalExecutor<'static>>,
+}
+
+/// Machines out for work, at this pooler.
+pub struct Works {
+    wanted: WorkWanted,
+    parts: Parts,
+    work: RefCell<Work<Whole>>,
+    /// The record that was acted on last.
+    acted: Cell<(Token, u32)>,
+    before: RefCell<(PlanId, Vec<State>)>,
+    emptied: Cell<bool>,
+    loads: RefCell<Loads>,
+    written: Cell<Option<(Token, u32)>>,
+    asked: Cell<Option<std::time::Instant>>,
+    told_late: RefCell<BTreeSet<(PlanId, usize)>>,
+    started: crate::flag::Flag,
+}
+
+impl Works {
+    pub(crate) fn new(wanted: WorkWanted, parts: Parts) -> Self {
+        parts.pool.measure();
+        Self {
+            work: RefCell::new(Work::new(clock::steady(), wanted.setup.clone())),
+            wanted,
+            parts,
+            acted: Cell::default(),
+            before: RefCell::default(),
+            emptied: Cell::default(),
+            loads: RefCell::default(),
+            written: Cell::default(),
+            asked: Cell::default(),
+            told_late: RefCell::default(),
+            started: crate::flag::Flag::default(),
+        }
+    }
+
+    /// Waits until it is known what is out, or was waited for in vain.
+    pub(crate) async fn started(&self) {
+        self.started.raised().await;
+    }
+
+    /// Whether that is known.
+    pub(crate) fn has_started(&self) -> bool {
+        self.started.is_up()
+    }
+
+    /// Does what is due, for ever.
+    pub(crate) async fn run(self: Rc<Self>) {
+        let pause = (duration(self.wanted.setup.every) / 8).min(TURN);
+        loop {
+            let changed = self.parts.leases.listen();
+            self.turn();
+            or(changed, async {
+                let _ = Timer::after(pause).await;
+            })
+            .await;
+        }
+    }
+
+    fn turn(self: &Rc<Self>) {
+        let now = clock::steady();
+        for (who, note) in self.parts.leases.take_work() {
+            self.work.borrow_mut().hear(now, who, note);
+        }
+        self.look_beside(now);
+        self.act();
+        let own = self.own(now);
+        let heard = self.heard(now);
+        let mut work = self.work.borrow_mut();
+        work.tick(now, &own, &|kind| self.facts(kind, &heard));
+        let letters = work.take_letters();
+        if work.give_up_waiting(now) {
+            tracing::warn!("work: no majority of voters has told what is out; serving by what was heard");
+        }
+        if work.has_started() && !self.started.is_up() {
+            self.started.raise();
+        }
+        drop(work);
+        self.parts.leases.say(letters);
+        self.act();
+        self.write_beside();
+        self.ask_for_handover(own.token);
+        self.tell_of_late(now);
+    }
+
+    /// What another process of this pooler knows to be out, where there is one.
+    fn look_beside(&self, now: Time) {
+        let Some(shared) = &self.parts.shared else { return };
+        let Some((plan, record)) = shared.look_work().and_then(|bytes| read_beside(&bytes)) else { return };
+        let mut work = self.work.borrow_mut();
+        if let Some(plan) = plan {
+            work.adopt(now, plan, &record);
+        }
+        // It lives, and says of nothing that it is clear as long as this one does. A dead one's word may be old.
+        if !work.has_started() && shared.lives_beside() {
+            work.start_by_other();
+        }
+    }
+
+    fn write_beside(&self) {
+        let Some(shared) = &self.parts.shared else { return };
+        let work = self.work.borrow();
+        if !work.has_started() || self.written.get() == Some(work.age()) {
+            return;
+        }
+        let bytes = match work.acts_on() {
+            Some((plan, record)) => write_beside(Some(plan), record),
+            None => write_beside(None, &Record::default()),
+        };
+        match shared.put_work(&bytes) {
+            Ok(()) => self.written.set(Some(work.age())),
+            Err(error) => tracing::debug!("work: other processes of this pooler don't learn of it: {error}"),
+        }
+    }
+
+    /// Does what the record says: before anything is said to be clear, nothing new goes there.
+    fn act(&self) {
+        let work = self.work.borrow();
+        let Some((plan, record)) = work.acts_on() else { return };
+        if self.acted.get() == record.age() {
+            return;
+        }
+        self.acted.set(record.age());
+        let mut before = self.before.borrow_mut();
+        let same = before.0 == record.plan;
+        let was = |at: usize| before.1.get(at).copied().filter(|_| same);
+        let changed = |at: &usize| was(*at) != Some(record.states[*at]);
+        match plan.kind {
+            Kind::Servers => {
+                let out: BTreeSet<u64> = record.out().map(|at| plan.machines[at]).collect();
+                // What comes back from work is cold; what was never touched is not.
+                let back: Vec<u64> = (0..plan.machines.len().min(record.states.len()))
+                    .filter(|at| record.states[*at] == State::Warming && changed(at))
+                    .map(|at| plan.machines[at])
+                    .collect();
+                self.parts.feed.by_plan(&out, &back);
+                if !back.is_empty() {
+                    self.parts.pool.measured(|meter| {
+                        meter.failed.retain(|member, _| !back.contains(&stands_for(&member.0)));
+                    });
+                }
+            }
+            Kind::Poolers => {
+                self.parts.feed.by_plan(&BTreeSet::new(), &[]);
+                let away = work.own_is_out();
+                if away != self.emptied.replace(away) {
+                    tracing::info!("work: this pooler's machine is {}", if away { "out" } else { "back" });
+                    self.parts.life.drained.turn(away);
+                    self.parts.leases.abstain(away, &self.wanted.tasks);
+                }
+            }
+        }
+        for at in (0..record.states.len()).filter(changed) {
+            let name = plan.machines.get(at).map_or_else(String::new, |of| self.name(plan.kind, *of));
+            if was(at).is_some() || record.states[at] != State::Waiting {
+                tracing::info!("work: {name} {}", record.states[at].word());
+            }
+        }
+        if !same {
+            tracing::info!("work: plan {:016x} of {} machines", record.plan.0, plan.machines.len());
+        }
+        *before = (record.plan, record.states.clone());
+    }
+
+    fn name(&self, kind: Kind, machine: u64) -> String {
+        if kind == Kind::Poolers {
+            return format!("pooler {machine}");
+        }
+        let members = self.parts.members.all();
+        let known = members.iter().find(|(id, _)| stands_for(&id.0) == machine);
+        known.map_or_else(|| format!("{machine:016x}"), |(id, _)| id.0.to_string())
+    }
+
+    fn own(&self, now: Time) -> Own {
+        let task = TaskId::of(TASK);
+        let work = self.work.borrow();
+        let token = self.parts.leases.holds(task).filter(|_| !work.own_is_out() && work.has_started());
+        let mut own = Own {
+            token,
+            holder: self.parts.leases.holder(TASK),
+            zone: zone_mark(&self.wanted.zone),
+            clear_of: work.age(),
+            ..Own::default()
+        };
+        if work.is_under_way() {
+            own.loads = self.measure(now);
+            own.failing = self.failing();
+        }
+        let Some((plan, record)) = work.acts_on() else { return own };
+        let alone = || self.parts.shared.as_ref().is_none_or(|shared| shared.is_alone());
+        let out: Vec<usize> = record.out().collect();
+        if out.is_empty() || !alone() {
+            return own;
+        }
+        let members = if plan.kind == Kind::Servers { self.parts.members.all() } else { Vec::new() };
+        let is_clear = |at: &usize| {
+            let machine = plan.machines[*at];
+            match plan.kind {
+                Kind::Servers => members
+                    .iter()
+                    .filter(|(id, _)| stands_for(&id.0) == machine)
+                    .all(|(id, _)| self.parts.pool.is_clear(id)),
+                Kind::Poolers => {
+                    machine == u64::from(self.wanted.setup.me.number)
+                        && self.emptied.get()
+                        && self.parts.seats.taken() == 0
+                        && self.wanted.tasks.iter().all(|task| self.parts.leases.holds(*task).is_none())
+                }
+            }
+        };
+        own.clear = Places::of(out.into_iter().filter(is_clear));
+        own
+    }
+
+    fn failing(&self) -> Vec<u64> {
+        let failing = |meter: &mut crate::upstream::Meter| {
+            let failed = meter.failed.iter().filter(|(_, times)| **times >= FAILED);
+            failed.map(|(member, _)| stands_for(&member.0)).collect::<Vec<_>>()
+        };
+        self.parts.pool.measured(failing).unwrap_or_default()
+    }
+
+    /// What this pooler bears, by group.
+    fn measure(&self, now: Time) -> Vec<Load> {
+        let sent: BTreeMap<GroupId, u64> = self
+            .parts
+            .pool
+            .measured(|meter| meter.sent.iter().map(|(group, count)| (*group, *count)).collect())
+            .unwrap_or_default();
+        let mut loads = self.loads.borrow_mut();
+        let loads = &mut *loads;
+        if now - loads.at >= Span(self.wanted.setup.every.0 * NOW) {
+            let seconds = (now - loads.at).0 as f64 / 1e6;
+            let minute = now - loads.minute >= MINUTE;
+            for (group, count) in &sent {
+                let seen = loads.seen.entry(*group).or_insert((*count, *count));
+                let (rate, hour) = loads.rates.entry(*group).or_default();
+                *rate = (count - seen.0) as f64 / seconds;
+                seen.0 = *count;
+                if minute {
+                    hour.push_back((count - seen.1) as f64 / (now - loads.minute).0 as f64 * 1e6);
+                    seen.1 = *count;
+                    if hour.len() > HOUR {
+                        hour.pop_front();
+                    }
+                }
+            }
+            loads.at = now;
+            if minute {
+                loads.minute = now;
+            }
+        }
+        let whole = |rate: f64| rate.ceil().clamp(0.0, 65_535.0) as u16;
+        let of = |(group, (rate, hour)): (&GroupId, &(f64, VecDeque<f64>))| {
+            let peak = hour.iter().copied().fold(*rate, f64::max);
+            Some(Load { group: u16::try_from(group.0).ok()?, now: whole(*rate), peak: whole(peak) })
+        };
+        loads.rates.iter().filter_map(of).collect()
+    }
+
+    /// What other poolers have told: loads, servers that fail them, and the poolers themselves.
+    fn heard(&self, now: Time) -> Heard {
+        let work = self.work.borrow();
+        Heard { loads: work.loads(now), failing: work.failing(now), poolers: work.poolers(now) }
+    }
+
+    fn facts(&self, kind: Kind, heard: &Heard) -> Facts {
+        let quiet = self.is_quiet();
+        if kind == Kind::Poolers {
+            let of = |(number, zone, whole): &(u16, u16, bool)| Fact {
+                machine: u64::from(*number),
+                zone: *zone,
+                serves: *whole,
+                warm: *whole,
+                ..Fact::default()
+            };
+            let voters = self.wanted.setup.voters.iter().map(|voter| u64::from(*voter)).collect();
+            let machines = heard.poolers.iter().map(of).collect();
+            return Facts { machines, quiet, voters, ..Facts::default() };
+        }
+        let (primaries, changing) = self.parts.driver.primaries();
+        let fails = self.failing();
+        let wall = self.parts.feed.now();
+        let group = |of: GroupId| u16::try_from(of.0).unwrap_or(u16::MAX);
+        let mut machines = Vec::new();
+        for (id, known) in self.parts.members.all() {
+            if known.state == ListState::Gone {
+                continue;
+            }
+            let machine = stands_for(&id.0);
+            let capacity = self.wanted.capacity.get(&known.machine).or(self.wanted.capacity.get(""));
+            machines.push(Fact {
+                machine,
+                group: group(known.group),
+                zone: zone_mark(&known.zone),
+                capacity: capacity.copied().unwrap_or(0.0),
+                primary: primaries.get(&known.group).map_or(known.primary, |of| *of == id),
+                serves: self.parts.members.serves_but_for_plans(&id),
+                failing: fails.contains(&machine)
+                    || heard.failing.get(&machine).is_some_and(|by| *by >= WITNESSES),
+                warm: known.started.is_none_or(|started| wall - started >= self.wanted.setup.limits.cold),
+            });
+        }
+        let changing = changing.into_iter().map(group).collect();
+        Facts { machines, changing, loads: heard.loads.clone(), quiet, ..Facts::default() }
+    }
+
+    fn is_quiet(&self) -> bool {
+        let minute = (clock::wall_ms() / 60_000 % 1_440) as u16;
+        self.wanted.quiet.iter().any(|(from, to)| {
+            if from < to { (*from..*to).contains(&minute) } else { minute >= *from || minute < *to }
+        })
+    }
+
+    /// Has somebody else made the primary of the groups whose turn it is.
+    fn ask_for_handover(self: &Rc<Self>, token: Option<Token>) {
+        let Some(token) = token else { return };
+        let work = self.work.borrow();
+        let Some((plan, record)) = work.acts_on().filter(|(plan, _)| plan.kind == Kind::Servers) else {
+            return;
+        };
+        let handing = record.states.iter().zip(&plan.machines).filter(|(state, _)| **state == State::Handing);
+        let handing: BTreeSet<u64> = handing.map(|(_, machine)| *machine).collect();
+        if handing.is_empty() || self.asked.get().is_some_and(|at| at.elapsed() < ASK_AGAIN) {
+            return;
+        }
+        self.asked.set(Some(std::time::Instant::now()));
+        let Some((address, path)) = self.wanted.handover.clone() else { return };
+        for (id, known) in self.parts.members.all() {
+            if handing.contains(&stands_for(&id.0)) {
+                let (own, path) = (self.clone(), path.clone());
+                let task = async move {
+                    let call = own.call(address, &path, token, &id, known.group);
+                    let late = async {
+                        let _ = Timer::after(ASK_AGAIN).await;
+                        Err("no answer".into())
+                    };
+                    if let Err(error) = or(call, late).await {
+                        tracing::debug!("work: the hand-over of {} at {address}: {error}", id.0);
+                    }
+                };
+                self.parts.executor.spawn(task).detach();
+            }
+        }
+    }
+
+    async fn call(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        token: Token,
+        from: &MemberId,
+        group: GroupId,
+    ) -> Result<(), Box<dyn std::error::Error>> {
+        let stream = Async::<TcpStream>::connect(address).await?;
+        let (mut sender, connection) = hyper::client::conn::http1::handshake(FuturesIo::new(stream)).await?;
+        let served = self.parts.executor.spawn(connection);
+        let request = Request::post(path)
+            .header("host", address.to_string())
+            .header("connection", "close")
+            .header("from", from.0.as_ref())
+            .header("group", group.0)
+            .header("fencing-token", token.0)
+            .body(Empty::<Bytes>::new())?;
+        // After the last wait: from here on only who is called can stop it.
+        if self.parts.leases.holds(TaskId::of(TASK)) != Some(token) {
+            return Ok(());
+        }
+        let answer: Response<_> = sender.send_request(request).await?;
+        drop(served);
+        if answer.status().is_success() { Ok(()) } else { Err(format!("status {}", answer.status()).into()) }
+    }
+
+    /// A machine that is out for too long is told of once.
+    fn tell_of_late(&self, now: Time) {
+        let work = self.work.borrow();
+        if !work.is_under_way() {
+            return;
+        }
+        let view = work.view(now);
+        if !view.leads {
+            return;
+        }
+        for (at, of) in view.machines.iter().enumerate() {
+            let late = of.state.is_out() && duration(of.since) > self.wanted.longest;
+            if late && self.told_late.borrow_mut().insert((view.plan, at)) {
+                tracing::warn!(
+                    "work: {} is {} for more than {:?}",
+                    self.name(view.kind, of.machine),
+                    of.state.word(),
+                    self.wanted.longest
+                );
+            }
+        }
+        if self.told_late.borrow().len() > MOST_MACHINES {
+            self.told_late.borrow_mut().clear();
+        }
+    }
+
+    /// The plan, its machines and why they wait, as JSON.
+    pub(crate) fn shown(&self) -> String {
+        let now = clock::steady();
+        let view = self.work.borrow().view(now);
+        let machines: Vec<Value> = view
+            .machines
+            .iter()
+            .map(|of| {
+                let mut shown = json!({"machine": self.name(view.kind, of.machine), "state": of.state.word(),
+                    "for_ms": of.since.0 / 1_000});
+                if let Some(why) = &of.why {
+                    shown["waits"] = why.to_string().into();
+                }
+                if !of.missing.is_empty() {
+                    shown["waits_for_poolers"] = of.missing.clone().into();
+                }
+                if of.state.is_out() && duration(of.since) > self.wanted.longest {
+                    shown["overdue"] = true.into();
+                }
+                shown
+            })
+            .collect();
+        let plan = (view.plan != PlanId::NONE).then(|| format!("{:016x}", view.plan.0));
+        json!({"plan": plan, "mode": view.mode.word(), "machines": machines, "token": view.age.0.0,
+            "version": view.age.1, "leads": view.leads, "holder": self.parts.leases.holder(TASK),
+            "knows_what_is_out": view.started, "voter_without_memory": view.blank, "silent_poolers": view.silent})
+        .to_string()
+    }
+
+    fn choosable(&self) -> Vec<Choosable> {
+        let known = self.parts.members.all().into_iter().filter(|(_, known)| known.state != ListState::Gone);
+        known.map(|(id, of)| Choosable { id: id.0.to_string(), zone: of.zone, machine: of.machine }).collect()
+    }
+
+    /// A plan that staff send.
+    ///
+    /// # Errors
+    ///
+    /// With a status and words.
+    pub(crate) async fn submit(self: &Rc<Self>, body: &[u8]) -> Result<String, (u16, String)> {
+        let bad = |words: String| (400, words);
+        let asked = Asked::read(body).map_err(bad)?;
+        let (kind, machines) =
+            asked.machines(&self.choosable(), self.wanted.setup.fleet).map_err(|words| bad(words))?;
+        let count = machines.len();
+        let now = clock::steady();
+        let submitted = self.work.borrow_mut().submit(now, kind, machines.clone());
+        let (plan, call) = submitted.map_err(|words| bad(words.to_owned()))?;
+        let heard = self.heard(now);
+        let facts = self.facts(kind, &heard);
+        let never = self.work.borrow().possible(plan, &facts);
+        if let Err((at, why)) = never {
+            self.work.borrow_mut().forget_call(call);
+            let name = machines.get(at).map_or_else(String::new, |of| self.name(kind, *of));
+            return Err((409, format!("{name} could never go out: {why}")));
+        }
+        self.outcome(call).await?;
+        tracing::info!("work: plan {:016x} of {count} machines was taken", plan.0);
+        Ok(format!("plan {:016x} of {count} machines", plan.0))
+    }
+
+    /// What staff want of the plan, or of a machine.
+    ///
+    /// # Errors
+    ///
+    /// With a status and words.
+    pub(crate) async fn by_hand(
+        self: &Rc<Self>,
+        verb: Verb,
+        machine: Option<&str>,
+    ) -> Result<String, (u16, String)> {
+        let now = clock::steady();
+        let (call, given_up) = {
+            let mut work = self.work.borrow_mut();
+            let no_plan = (404, "there is no plan".to_owned());
+            let (plan, record) = work.acts_on().ok_or(no_plan)?;
+            let mut at = 0;
+            if let Some(name) = machine {
+                let mark = match plan.kind {
+                    Kind::Servers => stands_for(name),
+                    Kind::Poolers => name.parse().map_err(|_| (400, "poolers have numbers".to_owned()))?,
+                };
+                let found = plan.machines.iter().position(|of| *of == mark);
+                at = found.ok_or_else(|| (404, format!("{name} is not in the plan")))?;
+            }
+            let id = record.plan;
+            let missing = work.view(now).machines.get(at).map(|of| of.missing.clone()).unwrap_or_default();
+            let call = work.call(now, verb, id, at as u16);
+            (call.ok_or((503, "too many calls are waiting".to_owned()))?, missing)
+        };
+        self.outcome(call).await?;
+        if verb == Verb::Force {
+            let name = machine.unwrap_or("");
+            let lost = if given_up.is_empty() {
+                "the limits are not kept for it".to_owned()
+            } else {
+                format!("poolers {given_up:?} have not said that they have nothing there")
+            };
+            tracing::warn!("work: {name} by force: {lost}");
+            return Ok(format!("done: {lost}"));
+        }
+        Ok("done".to_owned())
+    }
+
+    async fn outcome(self: &Rc<Self>, call: u32) -> Result<(), (u16, String)> {
+        let end = std::time::Instant::now() + CALL;
+        self.turn();
+        while std::time::Instant::now() < end {
+            let said = self.work.borrow_mut().said(call);
+            let no = |status: u16, words: &str| Err((status, words.to_owned()));
+            match said {
+                Some(Said::Done) => return Ok(()),
+                Some(Said::NotNow) => return no(409, "not in this state"),
+                Some(Said::Busy) => return no(409, "another plan is under way"),
+                Some(Said::Unknown) => return no(404, "there is no such plan or machine"),
+                Some(Said::Never) => return no(409, "the limits can never be met"),
+                Some(Said::NotHolder) | None => Timer::after(LOOK).await,
+            };
+        }
+        self.work.borrow_mut().forget_call(call);
+        Err((503, "nobody who could has answered yet: ask what became of it, and again".to_owned()))
+    }
+}
+
+/// What others have told.
+struct Heard {
+    loads: BTreeMap<u16, (f64, f64)>,
+    failing: BTreeMap<u64, usize>,
+    poolers: Vec<(u16, u16, bool)>,
+}
+
+/// What stands in the file that processes of one pooler share.
+#[derive(serde::Serialize, Deserialize)]
+struct Beside {
+    token: u64,
+    version: u32,
+    mode: usize,
+    poolers: bool,
+    nonce: u64,
+    machines: Vec<u64>,
+    states: Vec<usize>,
+}
+
+fn write_beside(plan: Option<&Plan>, record: &Record) -> Vec<u8> {
+    let place = |state: &State| State::ALL.iter().position(|of| of == state).unwrap_or(0);
+    let beside = Beside {
+        token: record.token.0,
+        version: record.version,
+        mode: Mode::ALL.iter().position(|of| *of == record.mode).unwrap_or(0),
+        poolers: plan.is_some_and(|plan| plan.kind == Kind::Poolers),
+        nonce: plan.map_or(0, |plan| plan.nonce),
+        machines: plan.map(|plan| plan.machines.clone()).unwrap_or_default(),
+        states: record.states.iter().map(place).collect(),
+    };
+    serde_json::to_vec(&beside).unwrap_or_default()
+}
+
+/// Reads it whole, or not at all.
+fn read_beside(bytes: &[u8]) -> Option<(Option<Plan>, Record)> {
+    let beside: Beside = serde_json::from_slice(bytes).ok()?;
+    if beside.machines.len() > MOST_MACHINES || beside.states.len() != beside.machines.len() {
+        return None;
+    }
+    let states: Option<Vec<State>> = beside.states.iter().map(|of| State::ALL.get(*of).copied()).collect();
+    let kind = if beside.poolers { Kind::Poolers } else { Kind::Servers };
+    let plan = Plan { kind, machines: beside.machines, nonce: beside.nonce };
+    let plan = Some(plan).filter(|plan| !plan.machines.is_empty());
+    let record = Record {
+        token: Token(beside.token),
+        version: beside.version,
+        plan: plan.as_ref().map_or(PlanId::NONE, Plan::id),
+        mode: *Mode::ALL.get(beside.mode)?,
+        states: states?,
+    };
+    Some((plan, record))
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -8,8 +8,8 @@
 
 pub use eval::{Fault, Place, Tree};
 pub use typed::{
-    Call, ChangeSettings, LeaseSettings, LogFormat, LogSettings, Metadata, Network, Operator, Own,
-    PrimarySettings, ReadWhat, RegistrySettings, Server, Task, User,
+    Bounds, Call, ChangeSettings, LeaseSettings, LogFormat, LogSettings, Metadata, Network, Operator, Own,
+    PrimarySettings, ReadWhat, RegistrySettings, Server, Task, User, WorkSettings,
 };
 
 /// The schema, for people to read and for `linnetdeal check --schema`.
--- a/crates/operator/src/schema.cue
+++ b/crates/operator/src/schema.cue
@@ -150,7 +150,55 @@
 	}
 }
 
+// So many machines out at once: of all, of one zone, and in so many zones.
+#Bounds: {
+	all:   int & >=1 & <=256 | *1
+	zone:  int & >=1 & <=256 | *1
+	zones: int & >=1 & <=256 | *1
+}
+
+// Requests a second that a machine of a type bears, by the list's name for the type.
+#Capacity: {
+	machine!:  string
+	requests!: number & >=0 & <=1000000
+}
+
+// Hours, in UTC, in which nothing begins.
+#Quiet: {
+	from!: =~"^([01][0-9]|2[0-3]):[0-5][0-9]$"
+	to!:   =~"^([01][0-9]|2[0-3]):[0-5][0-9]$"
+}
+
+// Machines out for work. It rests on the leases; all poolers have the same here.
+#Work: {
+	// A pooler says so often how far it is while a plan is under way; the lease's term.
+	every: #Duration | *"1s"
+	term:  #Duration | *"3s"
+	// A pooler that starts is not ready before a majority of voters has told it what is out, or so much time has passed.
+	hold: #Duration | *"30s"
+	// Servers, those that are dead among them, and of one group.
+	servers: #Bounds
+	group: int & >=1 & <=256 | *1
+	// Warm replicas that a group keeps, and how many times its load now and at the last hour's peak the machines that it keeps can do.
+	warm:  int & >=0 & <=256 | *1
+	spare: number & >=0 & <=100 | *1.2
+	capacity: [...#Capacity] | *[]
+	// Back, a machine counts as cold for so long. A primary that is not handed over by then is left out; who is out for longer is told of.
+	cold:    #Duration | *"30s"
+	handing: #Duration | *"30s"
+	longest: #Duration | *"4h"
+	order: *"ahead" | "spare" | "named"
+	quiet: [...#Quiet] | *[]
+	// Called over HTTP/1.1, with the lease's token, to have somebody else made the primary of a group.
+	handover?: {
+		address!: =~"^[0-9a-fA-F.:\\[\\]]+:[0-9]+$"
+		path:     =~"^/[^ \n]{0,256}$" | *"/"
+	}
+	poolers: #Bounds
+}
+
 registry?: #Registry
 leases?:   #Leases
+work?:     #Work
 primary:   #Primary
 log:       #Log
--- a/crates/operator/src/typed.rs
+++ b/crates/operator/src/typed.rs
@@ -1,6 +1,7 @@
 //! The file as plain types, with what a schema can't check: that networks are networks and bounds fit one another.
 
 mod leases;
+mod work;
 
 use crate::eval::{Fault, Place, Tree};
 use ipnet::IpNet;
@@ -11,6 +12,8 @@
 
 use leases::RawLeases;
 pub use leases::{Call, LeaseSettings, Task};
+use work::RawWork;
+pub use work::{Bounds, WorkSettings};
 
 /// What an operator wants.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -19,6 +22,8 @@
     pub registry: Option<RegistrySettings>,
     /// Tasks of the whole fleet, where there are any.
     pub leases: Option<LeaseSettings>,
+    /// Machines out for work, where the poolers see to it.
+    pub work: Option<WorkSettings>,
     /// What is known of changes of primary.
     pub primary: PrimarySettings,
     /// What is written to standard error.
@@ -186,6 +191,7 @@
 struct RawFile {
     registry: Option<RawRegistry>,
     leases: Option<RawLeases>,
+    work: Option<RawWork>,
     primary: RawPrimary,
     log: LogSettings,
 }
@@ -292,13 +298,15 @@
     let mut check = Checker { tree, faults: Vec::new() };
     let registry = raw.registry.map(|raw| registry(raw, &mut check));
     let leases = raw.leases.map(|raw| leases::decode(raw, &mut check));
+    let longest = leases.as_ref().map(|of| of.longest);
+    let work = raw.work.map(|raw| work::decode(raw, longest, &mut check));
     let primary = PrimarySettings {
         planned: raw.primary.planned.map(|raw| change("primary.planned", &raw, &mut check)),
         unplanned: raw.primary.unplanned.map(|raw| change("primary.unplanned", &raw, &mut check)),
     };
     check.faults.sort();
     if check.faults.is_empty() {
-        Ok(Operator { registry, leases, primary, log: raw.log })
+        Ok(Operator { registry, leases, work, primary, log: raw.log })
     } else {
         Err(check.faults)
     }
--- a/crates/registry/src/eureka/mapping.rs
+++ b/crates/registry/src/eureka/mapping.rs
@@ -129,6 +129,7 @@
             address: place.map(|(address, _)| address),
             group: group.map(GroupId),
             zone: zone.unwrap_or_default(),
+            machine: String::new(),
             primary: meta(&self.role_key).is_some_and(|role| role == self.primary),
             started,
             state,
--- a/crates/registry/src/eureka/reading.rs
+++ b/crates/registry/src/eureka/reading.rs
@@ -165,6 +165,7 @@
                     address: None,
                     group: None,
                     zone: String::new(),
+                    machine: String::new(),
                     primary: false,
                     started: None,
                     state: ListState::Draining,
