Lab: machines out for work as processes, servers, list, clients and a worker

Change: lab/work plays scripts; relays between poolers and servers, a list by pooler, who hands primaries over, a worker that keeps its own book, letters counted so that a leader ends between any two of them.

Seen on the way: words went to oneself once a file of the own place had been read (the step waited for everybody); a file replaced by renaming made the process wait for the disk, and the lease was lost; zones looked alike in 16 bits.

--- a/crates/coordination/src/work/desk.rs
+++ b/crates/coordination/src/work/desk.rs
@@ -355,7 +355,15 @@
         if machines.iter().collect::<BTreeSet<_>>().len() < machines.len() {
             return Err("a machine is named twice");
         }
-        let plan = Plan { kind, machines, nonce: self.rng.next_u64() };
+        // Sent again since nobody had answered in time: it may have been taken meanwhile.
+        let over = self.heard.mode == Mode::Over;
+        let same = self.plans.iter().find(|(id, plan)| {
+            plan.kind == kind && plan.machines == machines && !(over && **id == self.heard.plan)
+        });
+        let plan = match same {
+            Some((_, plan)) => plan.clone(),
+            None => Plan { kind, machines, nonce: self.rng.next_u64() },
+        };
         let id = plan.id();
         self.keep(plan);
         self.call(now, Verb::Submit, id, 0).map(|call| (id, call)).ok_or("too many calls are waiting")
@@ -693,7 +701,10 @@
         self.word_due =
             now + Span(pause - pause / 8 + (self.rng.next_u64() >> 1) as i64 % (pause / 4).max(1));
         self.last_word = Some(word.clone());
-        self.post(self.heard_from, Note::Word(word));
+        // What was learnt from another process of this pooler was told by nobody.
+        let unknown = self.heard_from == self.setup.me.number && self.lead.is_none();
+        let to = own.holder.filter(|_| unknown).unwrap_or(self.heard_from);
+        self.post(to, Note::Word(word));
     }
 
     fn read(&mut self, now: Time, from: Who, note: Note) {
@@ -867,10 +878,13 @@
             self.post(from, Note::Tell { record: self.heard.clone() });
             return;
         }
-        self.heard_from = from;
         if record.age() == self.heard.age() {
+            if from != self.setup.me.number {
+                self.heard_from = from;
+            }
             return;
         }
+        self.heard_from = from;
         self.times.resize(record.states.len(), now);
         for (at, state) in record.states.iter().enumerate() {
             if self.heard.plan != record.plan || self.heard.states.get(at) != Some(state) {
--- a/crates/lab/src/boxes.rs
+++ b/crates/lab/src/boxes.rs
@@ -29,6 +29,9 @@
     }
 }
 
+/// More than so many are not written down: one is too many.
+const MOST_TOUCHES: usize = 1_000;
+
 /// A box.
 #[derive(Clone)]
 pub struct StandIn {
@@ -40,6 +43,9 @@
     lag_ms: Arc<AtomicI64>,
     reached: Arc<AtomicI64>,
     down: Arc<AtomicBool>,
+    /// While somebody works on it: whoever connects or sends is written down.
+    watched: Arc<AtomicBool>,
+    touched: Arc<Mutex<Vec<Instant>>>,
 }
 
 impl StandIn {
@@ -63,12 +69,15 @@
             primary: Arc::new(AtomicBool::new(primary)),
             lag_ms: Arc::new(AtomicI64::new(10)),
             down: Arc::default(),
+            watched: Arc::default(),
+            touched: Arc::default(),
             reached: Arc::default(),
         };
         let door = one.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming() {
                 let Ok(stream) = stream else { return };
+                door.touch();
                 if door.down.load(Ordering::SeqCst) {
                     continue;
                 }
@@ -89,6 +98,27 @@
         self.lag_ms.store(ms, Ordering::SeqCst);
     }
 
+    /// From now on who connects or sends is written down, or no longer; when that was, since it was asked last.
+    pub fn watch(&self, on: bool) -> Vec<Instant> {
+        self.watched.store(on, Ordering::SeqCst);
+        std::mem::take(&mut lock(&self.touched))
+    }
+
+    fn touch(&self) {
+        if self.watched.load(Ordering::SeqCst) {
+            let mut touched = lock(&self.touched);
+            if touched.len() < MOST_TOUCHES {
+                touched.push(Instant::now());
+            }
+        }
+    }
+
+    /// Whether it is the primary.
+    #[must_use]
+    pub fn is_primary(&self) -> bool {
+        self.primary.load(Ordering::SeqCst)
+    }
+
     /// Whether it closes whoever comes.
     pub fn set_down(&self, down: bool) {
         self.down.store(down, Ordering::SeqCst);
@@ -143,6 +173,7 @@
             }
             match stream.read(&mut bytes) {
                 Ok(count @ 1..) => {
+                    self.touch();
                     first.get_or_insert_with(Instant::now);
                     read.extend_from_slice(&bytes[..count]);
                 }
--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -61,6 +61,7 @@
     session: String,
     asked: u64,
     deadline: Duration,
+    group: u32,
     rng: ChaCha8Rng,
     wire: Wire,
 }
@@ -70,7 +71,14 @@
     #[must_use]
     pub fn new(address: SocketAddr, at: usize, seed: u64) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(seed ^ at as u64);
-        Self { session: format!("acc{at}"), asked: 0, deadline: DEADLINE, rng, wire: Wire::to(address) }
+        Self {
+            session: format!("acc{at}"),
+            asked: 0,
+            deadline: DEADLINE,
+            group: 2,
+            rng,
+            wire: Wire::to(address),
+        }
     }
 
     /// The same, waiting so long for each answer.
@@ -80,6 +88,13 @@
         self
     }
 
+    /// The same, of another group.
+    #[must_use]
+    pub fn of_group(mut self, group: u32) -> Self {
+        self.group = group;
+        self
+    }
+
     /// When to come back, as the last refusal told.
     #[must_use]
     pub fn told(&self) -> Option<Duration> {
@@ -103,7 +118,7 @@
         self.asked += 1;
         let id = self.last_id();
         let session = &self.session;
-        let statement = statement(class, session, &id, self.deadline);
+        let statement = statement_for(class, session, &id, self.deadline, self.group);
         let needed = match class {
             0 => now_ms() - 1_500,
             1 => lock(ledger).must_see(session, false),
--- a/crates/lab/src/leases/play.rs
+++ b/crates/lab/src/leases/play.rs
@@ -85,8 +85,12 @@
         count: script.poolers,
         seed,
         // A pooler without a server is never ready; nobody asks anything of this one.
-        known: json!({"generation": 1, "reset": true, "instances": [{"instanceId": "s0", "hostPort": "127.0.0.1:1",
-            "zone": "a", "machineType": "m", "cell": 1, "lifecycle": "up", "weight": 1.0, "startedAtMs": 0}]}),
+        known: Box::new(|_| {
+            json!({"generation": 1, "reset": true, "instances": [{"instanceId": "s0", "hostPort": "127.0.0.1:1",
+                "zone": "a", "machineType": "m", "cell": 1, "lifecycle": "up", "weight": 1.0, "startedAtMs": 0}]})
+        }),
+        discovery: Vec::new(),
+        zones: Vec::new(),
         between: Box::new(move |from, to| !large || voters.contains(&from) || voters.contains(&to)),
     };
     let fleet = Fleet::lay(spec)?;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod say;
 pub mod script;
 pub mod sizes;
+pub mod work;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -91,6 +91,21 @@
         #[arg(long, default_value_t = 300)]
         fleet: usize,
     },
+    /// Play scripts of machines out for work with processes, servers, a worker and faults between them.
+    Work {
+        /// The folder of the scripts.
+        #[arg(long, default_value = "scenarios/work")]
+        folder: PathBuf,
+        /// Only scripts whose names hold this.
+        #[arg(long)]
+        only: Option<String>,
+        /// How often each script is played, each time with another seed.
+        #[arg(long, default_value_t = 1)]
+        times: u64,
+        /// Scripts that are played at the same time.
+        #[arg(long, default_value_t = 4)]
+        side_by_side: usize,
+    },
     /// Check the votes of leases through all orders of events within bounds, and have each of their parts taken away once.
     LeaseModel {
         /// No more states than this are looked at in one check.
@@ -214,6 +229,11 @@
             };
             linnetdeal_lab::leases::proof::run(&wanted, |line| say!("{line}"))
         }
+        Command::Work { folder, only, times, side_by_side } => {
+            let wanted =
+                linnetdeal_lab::work::proof::Wanted { folder, only, times, side_by_side, program: program() };
+            linnetdeal_lab::work::proof::run(&wanted, |line| say!("{line}"))
+        }
         Command::LeaseModel { most } => {
             linnetdeal_lab::leases::proof::model(most, |line| say!("{line}")).map(|of| of.well)
         }
--- a/crates/lab/src/processes/fleet.rs
+++ b/crates/lab/src/processes/fleet.rs
@@ -20,8 +20,12 @@
     pub count: usize,
     /// For their seeds and the relay's.
     pub seed: u64,
-    /// The list of servers as last held.
-    pub known: Value,
+    /// The list of servers as last held, by pooler: addresses may differ.
+    pub known: Box<dyn Fn(usize) -> Value + Send>,
+    /// Where discovery answers a pooler; nowhere for none.
+    pub discovery: Vec<SocketAddr>,
+    /// The zones that poolers lie in, in turn; the settings' own for none.
+    pub zones: Vec<String>,
     /// Between whom a relay stands.
     pub between: Box<dyn Fn(usize, usize) -> bool + Send>,
 }
@@ -177,10 +181,17 @@
         let listen = if twin { place.twin_listen } else { place.peer_listen };
         // Nobody calls the second process.
         let operator_at = if twin { "127.0.0.1:0".to_owned() } else { place.operator.to_string() };
-        let config = json!({"name": format!("n{at}"), "listen": "127.0.0.1:0", "seed": format!("{seed:016x}"),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "known": self.spec.known,
+        let known = (self.spec.known)(at);
+        if !self.spec.zones.is_empty() {
+            settings["Zone"] = self.spec.zones[at % self.spec.zones.len()].clone().into();
+        }
+        let mut config = json!({"name": format!("n{at}"), "listen": "127.0.0.1:0", "seed": format!("{seed:016x}"),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "known": known,
             "peer_listen": listen.to_string(), "peers": peers,
             "operator": operator_at, "settings": settings});
+        if let Some(address) = self.spec.discovery.get(at) {
+            config["discovery"] = address.to_string().into();
+        }
         if twin {
             return Process::start(&self.spec.program, &config, Some(operator), variables);
         }
@@ -281,9 +292,20 @@
     ///
     /// When it does not answer.
     pub fn call(&self, at: usize, method: &str, path: &str) -> std::io::Result<(u16, String)> {
+        self.send(at, method, path, "")
+    }
+
+    /// The same with a body.
+    ///
+    /// # Errors
+    ///
+    /// When it does not answer.
+    pub fn send(&self, at: usize, method: &str, path: &str, body: &str) -> std::io::Result<(u16, String)> {
         let mut stream = TcpStream::connect(self.places[at].operator)?;
         stream.set_read_timeout(Some(Duration::from_secs(5)))?;
-        stream.write_all(format!("{method} {path} HTTP/1.1\r\nhost: lab\r\n\r\n").as_bytes())?;
+        let size = body.len();
+        let head = format!("{method} {path} HTTP/1.1\r\nhost: lab\r\ncontent-length: {size}\r\n\r\n{body}");
+        stream.write_all(head.as_bytes())?;
         let mut answer = String::new();
         stream.read_to_string(&mut answer)?;
         let status = answer.split(' ').nth(1).and_then(|code| code.parse().ok());
--- a/crates/lab/src/processes/mod.rs
+++ b/crates/lab/src/processes/mod.rs
@@ -5,3 +5,4 @@
 pub mod history;
 pub mod process;
 pub mod relay;
+pub mod ways;
--- a/crates/lab/src/processes/relay.rs
+++ b/crates/lab/src/processes/relay.rs
@@ -40,8 +40,15 @@
     noise: Noise,
     /// From whom to whom nothing comes.
     cut: std::collections::BTreeSet<(usize, usize)>,
+    /// Nothing more comes from or to this one once it has sent so many more letters of this kind, as if it had died there.
+    ends: Option<(usize, usize)>,
+    ended: bool,
 }
 
+/// Where the form of a letter between poolers stands, the magic byte of letters, and the first form of those of work.
+const FORM: usize = 28;
+const FIRST_OF_WORK: u8 = 16;
+
 /// What passed.
 #[derive(Debug, Default)]
 pub struct Passed {
@@ -158,6 +165,23 @@
         }
     }
 
+    /// Nothing more comes from or to a pooler once it has sent so many more letters about work.
+    pub fn end_after(&self, pooler: usize, letters: usize) {
+        let mut rules = lock(&self.rules);
+        (rules.ends, rules.ended) = (Some((pooler, letters)), false);
+    }
+
+    /// Whether that has come to pass.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        lock(&self.rules).ended
+    }
+
+    /// That is over.
+    pub fn end_none(&self) {
+        lock(&self.rules).ends = None;
+    }
+
     /// Mends all that was cut.
     pub fn heal(&self) {
         lock(&self.rules).cut.clear();
@@ -195,8 +219,20 @@
             passed.longest.fetch_max(size, Ordering::Relaxed);
             *lock(&passed.by).entry(way.from).or_default() += 1;
             let (noise, cut) = {
-                let rules = lock(&rules);
-                (rules.noise, rules.cut.contains(&(way.from, way.to)))
+                let mut rules = lock(&rules);
+                let mut gone = false;
+                if let Some((who, left)) = rules.ends {
+                    let of_work = buffer[0] == linnetdeal_coordination::lease::MAGIC
+                        && size > FORM
+                        && buffer[FORM] >= FIRST_OF_WORK;
+                    if who == way.from && of_work && left > 0 {
+                        rules.ends = Some((who, left - 1));
+                    } else if left == 0 && (who == way.from || who == way.to) {
+                        rules.ended = true;
+                        gone = true;
+                    }
+                }
+                (rules.noise, gone || rules.cut.contains(&(way.from, way.to)))
             };
             let mut hits = |of: u32| of > 0 && rng.next_u32() % 1_000 < of;
             if cut || hits(noise.lost) {
--- a/crates/net/src/succession.rs
+++ b/crates/net/src/succession.rs
@@ -39,6 +39,7 @@
     bans: RefCell<Bans>,
     seen: Cell<Option<SystemTime>>,
     seen_work: Cell<Option<SystemTime>>,
+    own_work: RefCell<Option<PathBuf>>,
     /// The own lock, while this lives.
     alive: RefCell<Option<File>>,
 }
@@ -54,7 +55,15 @@
         let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         let own = format!("{}-{}", std::process::id(), now.as_nanos());
         let (bans, seen, alive) = (RefCell::default(), Cell::new(None), RefCell::default());
-        Ok(Self { folder: folder.to_owned(), own, bans, seen, seen_work: Cell::new(None), alive })
+        Ok(Self {
+            folder: folder.to_owned(),
+            own,
+            bans,
+            seen,
+            seen_work: Cell::new(None),
+            own_work: RefCell::default(),
+            alive,
+        })
     }
 
     /// Says that this process is the newest.
@@ -123,27 +132,35 @@
         self.alive.borrow().is_some() && !self.is_alone()
     }
 
-    /// Writes down what this process knows to be out by a plan, whole or not at all.
+    /// Writes down what this process knows to be out by a plan, of this age. Each age has a file of its own: to replace one by
+    /// renaming makes some file systems wait for the disk, and all requests with them.
     ///
     /// # Errors
     ///
     /// When the file system refuses.
-    pub fn put_work(&self, bytes: &[u8]) -> io::Result<()> {
-        let beside = self.folder.join(format!("{WORK}.{}", self.own));
-        std::fs::write(&beside, bytes)?;
-        std::fs::rename(&beside, self.folder.join(WORK))
+    pub fn put_work(&self, age: (u64, u32), bytes: &[u8]) -> io::Result<()> {
+        let path = self.folder.join(format!("{WORK}.{:016x}.{:08x}", age.0, age.1));
+        std::fs::write(&path, bytes)?;
+        if let Some(before) = self.own_work.replace(Some(path.clone())).filter(|before| *before != path) {
+            let _ = std::fs::remove_file(before);
+        }
+        Ok(())
     }
 
-    /// What some process of this pooler has written down of that, if it has changed since this was asked.
+    /// The newest that some process of this pooler has written down of that, if it has changed since this was asked. What is
+    /// half written is not to be read yet, by whoever reads it.
     #[must_use]
     pub fn look_work(&self) -> Option<Vec<u8>> {
-        let path = self.folder.join(WORK);
-        let modified = std::fs::metadata(&path).ok()?.modified().ok()?;
+        let modified = std::fs::metadata(&self.folder).ok()?.modified().ok()?;
         if self.seen_work.get() == Some(modified) && modified.elapsed().is_ok_and(|age| age > SETTLED) {
             return None;
         }
         self.seen_work.set(Some(modified));
-        std::fs::read(path).ok()
+        let files = std::fs::read_dir(&self.folder).ok()?.flatten().take(MOST_FILES);
+        let newest = files.map(|file| file.path()).filter(|path| {
+            path.file_name().and_then(|name| name.to_str()).is_some_and(|name| name.starts_with(WORK))
+        });
+        std::fs::read(newest.max()?).ok()
     }
 
     /// Writes down that a server is out by hand, or takes that away.
--- a/crates/net/src/work.rs
+++ b/crates/net/src/work.rs
@@ -185,7 +185,9 @@
 /// What stands for a zone in a datagram.
 #[must_use]
 pub fn zone_mark(zone: &str) -> u16 {
-    (stands_for(zone) >> 16) as u16
+    // Of a short word only some bits differ.
+    let mark = stands_for(zone);
+    (mark ^ mark >> 16 ^ mark >> 32 ^ mark >> 48) as u16
 }
 
 /// The load by group, by the minute.
@@ -317,7 +319,7 @@
             Some((plan, record)) => write_beside(Some(plan), record),
             None => write_beside(None, &Record::default()),
         };
-        match shared.put_work(&bytes) {
+        match shared.put_work((work.age().0.0, work.age().1), &bytes) {
             Ok(()) => self.written.set(Some(work.age())),
             Err(error) => tracing::debug!("work: other processes of this pooler don't learn of it: {error}"),
         }
--- /dev/null
+++ b/scenarios/work/leader-killed.cue
@@ -0,0 +1,15 @@
+// Whoever leads is killed while machines are out, again and again.
+package work
+
+name: "leader-killed"
+steps: [
+	{do: "plan", text: "{\"servers\": {\"all\": true}}"},
+	{do: "until", text: "at work"},
+	{do: "kill", who: "leader"},
+	{do: "until", text: "at work"},
+	{do: "start", who: "same"},
+	{do: "until", text: "leaving"},
+	{do: "kill", who: "leader"},
+	{do: "until", text: "at work"},
+	{do: "start", who: "same"},
+]
--- /dev/null
+++ b/scenarios/work/paused.cue
@@ -0,0 +1,13 @@
+// Paused, nothing more goes out; then it goes on.
+package work
+
+name: "paused"
+steps: [
+	{do: "plan", text: "{\"servers\": {\"all\": true}}"},
+	{do: "until", text: "at work"},
+	{do: "call", text: "pause"},
+	{do: "until", text: "back", count: 2},
+	{do: "wait", lasts: "1s"},
+	{do: "until", text: "waiting", count: 4},
+	{do: "call", text: "resume"},
+]
--- /dev/null
+++ b/scenarios/work/replaced.cue
@@ -0,0 +1,11 @@
+// Newer processes take the place of poolers during the plan, of who leads too.
+package work
+
+name: "replaced"
+steps: [
+	{do: "plan", text: "{\"servers\": {\"all\": true}}"},
+	{do: "until", text: "leaving"},
+	{do: "replace", who: "4"},
+	{do: "until", text: "at work"},
+	{do: "replace", who: "leader"},
+]
--- /dev/null
+++ b/scenarios/work/restarts.cue
@@ -0,0 +1,18 @@
+// All poolers start anew during the plan, a tenth at a time.
+package work
+
+name: "restarts"
+poolers: 10
+steps: [
+	{do: "plan", text: "{\"servers\": {\"all\": true}}"},
+	{do: "start", who: "tenth"}, {do: "wait", lasts: "700ms"},
+	{do: "start", who: "tenth"}, {do: "wait", lasts: "700ms"},
+	{do: "start", who: "tenth"}, {do: "wait", lasts: "700ms"},
+	{do: "start", who: "tenth"}, {do: "wait", lasts: "700ms"},
+	{do: "start", who: "tenth"}, {do: "wait", lasts: "700ms"},
+	{do: "start", who: "tenth"}, {do: "wait", lasts: "700ms"},
+	{do: "start", who: "tenth"}, {do: "wait", lasts: "700ms"},
+	{do: "start", who: "tenth"}, {do: "wait", lasts: "700ms"},
+	{do: "start", who: "tenth"}, {do: "wait", lasts: "700ms"},
+	{do: "start", who: "tenth"},
+]
--- /dev/null
+++ b/scenarios/work/worker-hangs.cue
@@ -0,0 +1,12 @@
+// The worker never says done, until it does.
+package work
+
+name: "worker-hangs"
+steps: [
+	{do: "plan", text: "{\"servers\": {\"all\": true}}"},
+	{do: "hang-worker"},
+	{do: "until", text: "at work", count: 2},
+	{do: "wait", lasts: "3s"},
+	{do: "until", text: "waiting", count: 4},
+	{do: "free-worker"},
+]
