Work: a server that breaks connections is dead, and one that is back has to answer first

Cause: in server-dies and dies-in-its-turn the next machine of a group went out though another one was dead: a stand-in that takes connections and closes them counted as well (Broken was left out), and one that came back dead counted as back after the cold time.

Change: breaks before the last byte count; who leads takes a machine that is back for dead until it answers, and asks it, and the members of a group whose primary changes.

--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -218,6 +218,15 @@
     ///
     /// When nobody listens or answers.
     pub fn open(&mut self, end: Instant) -> std::io::Result<()> {
+        // What was closed since the last answer is opened anew: nothing was asked on it.
+        if let Some(stream) = &self.stream {
+            stream.set_nonblocking(true)?;
+            let closed = matches!(stream.peek(&mut [0]), Ok(0));
+            stream.set_nonblocking(false)?;
+            if closed {
+                self.close();
+            }
+        }
         if self.stream.is_some() {
             return Ok(());
         }
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -183,8 +183,7 @@
             if let Some(mark) = change.mark() {
                 primaries.insert(group, mark.clone());
             }
-            let between = matches!(change.phase(), Phase::Without | Phase::Found | Phase::Releasing);
-            if change.mark().is_none() || between {
+            if matches!(change.phase(), Phase::Without | Phase::Found | Phase::Releasing) {
                 changing.push(group);
             }
         }
--- a/crates/net/src/upstream.rs
+++ b/crates/net/src/upstream.rs
@@ -207,10 +207,10 @@
             }
         }
         match verdict {
-            Verdict::ConnectFailed | Verdict::Unreachable => {
+            Verdict::ConnectFailed | Verdict::Unreachable | Verdict::Broken => {
                 *meter.failed.entry(member.clone()).or_default() += 1
             }
-            Verdict::Moot | Verdict::Broken | Verdict::Timeout | Verdict::Reset | Verdict::Cancelled => {}
+            Verdict::Moot | Verdict::Timeout | Verdict::Reset | Verdict::Cancelled => {}
             _ => drop(meter.failed.remove(member)),
         }
     }
--- a/crates/net/src/work.rs
+++ b/crates/net/src/work.rs
@@ -291,7 +291,7 @@
         self.parts.leases.say(letters);
         self.act();
         self.write_beside();
-        self.ask_for_handover(own.token);
+        self.ask_and_hand_over(own.token);
         self.tell_of_late(now);
     }
 
@@ -347,8 +347,17 @@
                     .collect();
                 self.parts.feed.by_plan(&out, &back);
                 if !back.is_empty() {
+                    // What was heard of it before says nothing now; who leads takes it for dead until it answers.
+                    let leads = work.view(clock::steady()).leads;
+                    let members = self.parts.members.all();
+                    let back = members.into_iter().filter(|(id, _)| back.contains(&stands_for(&id.0)));
                     self.parts.pool.measured(|meter| {
-                        meter.failed.retain(|member, _| !back.contains(&stands_for(&member.0)));
+                        for (id, _) in back {
+                            meter.failed.remove(&id);
+                            if leads {
+                                meter.failed.insert(id, FAILED);
+                            }
+                        }
                     });
                 }
             }
@@ -513,7 +522,10 @@
                 warm: known.started.is_none_or(|started| wall - started >= self.wanted.setup.limits.cold),
             });
         }
-        let changing = changing.into_iter().map(group).collect();
+        // Where nobody is known to be, by own answers or by the list, nobody can be handed over to.
+        let known: BTreeSet<u16> = machines.iter().filter(|of| of.primary).map(|of| of.group).collect();
+        let without = machines.iter().map(|of| of.group).filter(|of| !known.contains(of));
+        let changing = changing.into_iter().map(group).chain(without).collect();
         Facts { machines, changing, loads: heard.loads.clone(), quiet, ..Facts::default() }
     }
 
@@ -524,21 +536,41 @@
         })
     }
 
-    /// Has somebody else made the primary of the groups whose turn it is.
-    fn ask_for_handover(self: &Rc<Self>, token: Option<Token>) {
+    /// Has somebody else made the primary of the groups whose turn it is, and asks members that matter to the next step.
+    fn ask_and_hand_over(self: &Rc<Self>, token: Option<Token>) {
         let Some(token) = token else { return };
         let work = self.work.borrow();
         let Some((plan, record)) = work.acts_on().filter(|(plan, _)| plan.kind == Kind::Servers) else {
             return;
         };
-        let handing = record.states.iter().zip(&plan.machines).filter(|(state, _)| **state == State::Handing);
-        let handing: BTreeSet<u64> = handing.map(|(_, machine)| *machine).collect();
-        if handing.is_empty() || self.asked.get().is_some_and(|at| at.elapsed() < ASK_AGAIN) {
+        let with = |state: State| -> BTreeSet<u64> {
+            let of = record.states.iter().zip(&plan.machines).filter(|(one, _)| **one == state);
+            of.map(|(_, machine)| *machine).collect()
+        };
+        let (handing, warming) = (with(State::Handing), with(State::Warming));
+        if handing.is_empty() && warming.is_empty()
+            || self.asked.get().is_some_and(|at| at.elapsed() < ASK_AGAIN)
+        {
             return;
         }
         self.asked.set(Some(std::time::Instant::now()));
+        let members = self.parts.members.all();
+        let groups: BTreeSet<GroupId> = members
+            .iter()
+            .filter(|(id, _)| handing.contains(&stands_for(&id.0)))
+            .map(|(_, of)| of.group)
+            .collect();
+        // This pooler may send nothing there, and would hear of no new primary, and of none that is back.
+        for (id, known) in &members {
+            let asked = groups.contains(&known.group) || warming.contains(&stands_for(&id.0));
+            if asked && known.state == ListState::Healthy {
+                let (driver, pool, id) = (self.parts.driver.clone(), self.parts.pool.clone(), id.clone());
+                let ask = async move { drop(crate::probes::probe(&driver, &pool, id).await) };
+                self.parts.executor.spawn(ask).detach();
+            }
+        }
         let Some((address, path)) = self.wanted.handover.clone() else { return };
-        for (id, known) in self.parts.members.all() {
+        for (id, known) in members {
             if handing.contains(&stands_for(&id.0)) {
                 let (own, path) = (self.clone(), path.clone());
                 let task = async move {
--- /dev/null
+++ b/scenarios/work/dies-in-its-turn.cue
@@ -0,0 +1,14 @@
+// A server does not come back from work: it stays out, and so do no others beyond the limits; once it is there the plan goes on.
+package work
+
+name: "dies-in-its-turn"
+served: 800
+steps: [
+	{do: "plan", text: "{\"servers\": {\"all\": true}}"},
+	{do: "until", text: "at work"},
+	{do: "fell", what: "at-work"},
+	{do: "until", text: "warming"},
+	{do: "wait", lasts: "3s"},
+	{do: "until", text: "warming"},
+	{do: "raise", what: "zone-a"}, {do: "raise", what: "zone-b"}, {do: "raise", what: "zone-c"},
+]
