--- a/crates/coordination/src/work/order.rs
+++ b/crates/coordination/src/work/order.rs
@@ -218,8 +218,23 @@
         if new {
             self.out.remove(&of.machine);
         }
-        // One that is dead already: to take it out takes nothing away.
-        why.filter(|_| new)
+        if new {
+            return why;
+        }
+        // One that is dead already: to take it out takes nothing away, and only those that the plan has out are counted.
+        let count = |is: &dyn Fn(&Fact) -> bool| {
+            self.planned.iter().filter(|one| self.by.get(one).is_some_and(|one| is(one))).count()
+        };
+        let (all, zone) = (self.planned.len(), count(&|one| one.zone == of.zone));
+        let group = if self.kind == Kind::Servers { count(&|one| one.group == of.group) } else { 0 };
+        let limits = self.limits;
+        if all >= limits.all {
+            Some(Why::All(all))
+        } else if zone >= limits.zone {
+            Some(Why::Zone(zone))
+        } else {
+            (group >= limits.group).then_some(Why::Group(group))
+        }
     }
 
     fn take(&mut self, of: u64) {
--- /dev/null
+++ b/scenarios/work/dies-after-07.cue
@@ -0,0 +1,10 @@
+// Whoever leads dies after 7 letters of a plan for one machine: somebody else goes on where it was.
+package work
+
+name: "dies-after-07"
+steps: [
+	{do: "plan", text: "{\"servers\": {\"ids\": [\"s01\"]}}"},
+	{do: "die-after", count: 7},
+	{do: "wait", lasts: "500ms"},
+	{do: "start", who: "same"},
+]
--- /dev/null
+++ b/scenarios/work/dies-before.cue
@@ -0,0 +1,13 @@
+// A server of the plan dies before its turn: it goes out first, and comes back with the work done.
+package work
+
+name: "dies-before"
+groups: 3
+served: 800
+steps: [
+	{do: "fell", what: "spared"},
+	{do: "wait", lasts: "1s"},
+	{do: "plan", text: "{\"servers\": {\"all\": true}}"},
+	{do: "until", text: "back", count: 2},
+	{do: "raise", what: "zone-a"}, {do: "raise", what: "zone-b"}, {do: "raise", what: "zone-c"},
+]
