--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -106,6 +106,8 @@
         #[arg(long, default_value_t = 4)]
         side_by_side: usize,
     },
+    /// Play plans in the model by each scheme, and plot them.
+    WorkModel,
     /// Check the votes of leases through all orders of events within bounds, and have each of their parts taken away once.
     LeaseModel {
         /// No more states than this are looked at in one check.
@@ -234,6 +236,10 @@
                 linnetdeal_lab::work::proof::Wanted { folder, only, times, side_by_side, program: program() };
             linnetdeal_lab::work::proof::run(&wanted, |line| say!("{line}"))
         }
+        Command::WorkModel => {
+            linnetdeal_lab::work::proof::schemes(&|line: &dyn std::fmt::Display| say!("{line}"))
+                .map(|()| true)
+        }
         Command::LeaseModel { most } => {
             linnetdeal_lab::leases::proof::model(most, |line| say!("{line}")).map(|of| of.well)
         }
--- a/crates/lab/src/work/proof.rs
+++ b/crates/lab/src/work/proof.rs
@@ -1,12 +1,15 @@
 //! All of the proof, and its last line.
 
+use super::model;
 use super::play::{Outcome, play};
 use super::script::Script;
 use crate::at_once;
 use crate::processes::process;
+use linnetdeal_coordination::work::Scheme;
 use serde_json::json;
+use std::collections::BTreeMap;
 use std::fmt::Display;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 /// What is to be played.
 pub struct Wanted {
@@ -67,18 +70,89 @@
         servers = servers.max(script.groups * script.members);
         add(&mut all, outcome);
     }
+    let mut served = BTreeMap::new();
+    let mut plan = (0.0, 0.0);
+    if wanted.only.is_none() {
+        let mut large = Script::folder(&wanted.folder.join("large"))?;
+        // One after another: each fills the machine.
+        for script in &mut large {
+            let outcome = play(script, script.seed, &wanted.program)?;
+            say(&line(script, script.seed, &outcome));
+            well &= outcome.is_well(script);
+            processes = processes.max(script.poolers);
+            servers = servers.max(script.groups * script.members);
+            let share = outcome.served.0 as f64 / outcome.served.1.max(1) as f64;
+            served.insert(script.name.clone(), share);
+            if script.name == "large-calm" {
+                plan = (outcome.plan_s, shortest_of(script));
+            }
+            add(&mut all, outcome);
+        }
+        schemes(&say)?;
+    }
+    let of = |name: &str| served.get(name).copied().map_or(0.0, rounded);
     let (started, ended) = process::count();
     say(&json!({"processes": processes, "servers": servers, "scripts": plays.len(),
         "steps_interrupted": all.interrupted, "machines_worked": all.worked,
         "sends_to_free_machines": all.sends_to_free, "limits_exceeded": all.limits_exceeded,
         "machines_forgotten_out": all.forgotten, "drains_broken": all.drains_broken,
         "cold_pushed_over": all.cold_pushed, "rows_doubled": all.doubled, "rows_lost": all.lost,
-        "unanswered": all.unanswered, "served": rounded(all.served.0 as f64 / all.served.1.max(1) as f64),
+        "unanswered": all.unanswered, "served_all": rounded(all.served.0 as f64 / all.served.1.max(1) as f64),
+        "served": of("large-calm"), "served_without_plan": of("large-without"),
+        "served_with_fault": of("large-fault"), "served_with_fault_without_plan": of("large-fault-without"),
+        "plan_s": rounded(plan.0), "shortest_possible_s": rounded(plan.1),
         "resumed_after_holder_death_p99_s": rounded(quantile(&mut all.resumed, 0.99)),
         "bytes_max": all.longest, "started": started, "leaks": started - ended}));
     Ok(well && started == ended)
 }
 
+/// The shortest that the limits of a script allow: its zones in turn, its groups one at a time, each machine at work and cold for
+/// as long as the script has it.
+fn shortest_of(script: &Script) -> f64 {
+    let cold = 0.4;
+    let each = script.lasts.as_secs_f64() + cold;
+    let zones = script.zones.min(script.members);
+    let of_zone = (script.groups * script.members / zones).div_ceil(script.zone.min(script.all));
+    let (by_zone, by_group) = (of_zone * zones / script.zones_at_once.clamp(1, zones), script.members);
+    each * by_zone.max(by_group) as f64
+}
+
+/// The order of machines by each scheme, in the model, and a plot of it.
+///
+/// # Errors
+///
+/// When the plot can't be written.
+pub fn schemes(say: &impl Fn(&dyn Display)) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
+    let all = [("named", Scheme::Named), ("spare", Scheme::Spare), ("ahead", Scheme::Ahead)];
+    for servers in [18, 120, 240] {
+        for (name, scheme) in all {
+            let (mut over, mut lost, mut out) = (Vec::new(), 0.0, 0);
+            for seed in 1..=4 {
+                let (fleet, limits) = (model::fleet(servers, seed), model::limits(scheme));
+                let played = model::play(&fleet, &limits);
+                let whole = played.worked == servers;
+                over.push(
+                    played
+                        .seconds
+                        .filter(|_| whole)
+                        .map_or(f64::NAN, |took| took / model::shortest(&fleet, &limits)),
+                );
+                lost += played.lost / 4.0;
+                out = out.max(played.most_out);
+            }
+            let mean = over.iter().sum::<f64>() / over.len() as f64;
+            let most = over.iter().copied().fold(0.0, f64::max);
+            say(&format!(
+                "model: {servers:>3} servers, {name:<6} {mean:.2} times the shortest, {most:.2} at most of 4 fleets; load lost {lost:.5}; {out} out at most"
+            ));
+        }
+    }
+    let fleet = model::fleet(120, 1);
+    let plays: Vec<_> =
+        all.iter().map(|(name, scheme)| (*name, model::play(&fleet, &model::limits(*scheme)))).collect();
+    model::plot(Path::new("docs/design/work-plan.svg"), &plays)
+}
+
 fn add(all: &mut Outcome, one: Outcome) {
     all.interrupted += one.interrupted;
     all.worked += one.worked;
--- /dev/null
+++ b/scenarios/work/large/calm.cue
@@ -0,0 +1,16 @@
+// 24 poolers and 18 servers, all servers out once.
+package work
+
+name: "large-calm"
+poolers: 24
+voters: [0, 5, 10, 15, 20]
+groups: 6
+members: 3
+clients: 3
+pause: "100ms"
+lasts: "2s"
+all: 3
+zone: 3
+work: "every: \"200ms\", term: \"800ms\", cold: \"400ms\", handing: \"5s\", servers: {all: 3, zone: 3, zones: 1}"
+served: 980
+steps: [{do: "plan", text: "{\"servers\": {\"all\": true}}"}]
--- /dev/null
+++ b/scenarios/work/large/without.cue
@@ -0,0 +1,17 @@
+// The same without a plan, for as long.
+package work
+
+name: "large-without"
+poolers: 24
+voters: [0, 5, 10, 15, 20]
+groups: 6
+members: 3
+clients: 3
+pause: "100ms"
+lasts: "2s"
+all: 3
+zone: 3
+work: "every: \"200ms\", term: \"800ms\", cold: \"400ms\", handing: \"5s\", servers: {all: 3, zone: 3, zones: 1}"
+served: 980
+ends: false
+steps: [{do: "wait", lasts: "24s"}]
