--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -1004,3 +1004,117 @@
     assert!(newer.child.wait().unwrap().success());
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+#[test]
+fn a_newer_process_that_dies_before_it_serves_leaves_the_older_one_as_it_was() {
+    let (one, discovery) = (plain("s-1", "replica"), Discovery::new());
+    let folder = std::env::temp_dir().join(format!("linnetdeal-early-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let door = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let config = config(&discovery, vec![one.entry("up", "")], 1_024);
+    let begin = || {
+        let mut config: Value = serde_json::from_str(&config).unwrap();
+        config["operator"] = free_port().to_string().into();
+        Pooler::beside(&config.to_string(), &door, &folder)
+    };
+    let mut older = begin();
+    let mut client = Client::connect(&older);
+    let served = |client: &mut Client| assert_eq!(client.ask(&menu("1")).value.as_deref(), Some(&b"s-1"[..]));
+    // Twice: what the first leaves behind hinders nobody.
+    for _ in 0..2 {
+        let mut newer = begin();
+        newer.signal("KILL");
+        newer.child.wait().unwrap();
+        served(&mut client);
+    }
+    // And when it is told to end it finds nobody in its place.
+    older.signal("TERM");
+    older.logged("draining with 1 clients");
+    let mut late = Client::connect(&older);
+    served(&mut late);
+    assert!(older.child.wait().unwrap().success());
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[test]
+fn two_newer_processes_in_a_row_and_a_new_configuration_between_lose_no_client() {
+    let (one, two, discovery) = (plain("s-1", "replica"), plain("s-2", "replica"), Discovery::new());
+    let folder = std::env::temp_dir().join(format!("linnetdeal-row-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let door = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let config = config(&discovery, vec![one.entry("up", ""), two.entry("up", "")], 1_024);
+    let begin = || {
+        let mut config: Value = serde_json::from_str(&config).unwrap();
+        let desk = free_port();
+        config["operator"] = desk.to_string().into();
+        let pooler = Pooler::beside(&config.to_string(), &door, &folder);
+        let mut tries = 0..100_000;
+        assert!(tries.any(|_| call(desk, "GET /-/ready") == "200"));
+        (pooler, desk)
+    };
+    let served = |client: &mut Client| assert_eq!(client.ask(&menu("1")).value.as_deref(), Some(&b"s-2"[..]));
+    let (mut first, desk) = begin();
+    assert_eq!(call(desk, "POST /-/servers/s-1/disable"), "200");
+    let mut kept = Client::connect(&first);
+    served(&mut kept);
+    let (mut second, _) = begin();
+    first.signal("TERM");
+    first.logged("for a newer process");
+    // Both read their configurations again, while they overlap.
+    first.signal("HUP");
+    second.signal("HUP");
+    second.logged("configuration read again");
+    let (mut third, last) = begin();
+    second.signal("TERM");
+    second.logged("for a newer process");
+    served(&mut kept);
+    let mut late = Client::connect(&third);
+    served(&mut late);
+    for ended in [&mut first, &mut second] {
+        assert!(ended.child.wait().unwrap().success());
+    }
+    // Out by hand for all three, until the last one ends it.
+    served(&mut late);
+    assert_eq!(call(last, "POST /-/servers/s-1/enable"), "200");
+    let used = (0..5_000).any(|_| late.ask(&menu("7")).value.as_deref() == Some(b"s-1"));
+    assert!(used, "it is used again");
+    third.signal("TERM");
+    assert!(third.child.wait().unwrap().success());
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[test]
+fn an_older_process_that_hangs_in_its_end_holds_up_nobody() {
+    let (one, discovery) = (plain("s-1", "replica"), Discovery::new());
+    let folder = std::env::temp_dir().join(format!("linnetdeal-hang-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let door = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let config = config(&discovery, vec![one.entry("up", "")], 1_024);
+    let begin = || {
+        let mut config: Value = serde_json::from_str(&config).unwrap();
+        let desk = free_port();
+        config["operator"] = desk.to_string().into();
+        let pooler = Pooler::beside(&config.to_string(), &door, &folder);
+        let mut tries = 0..100_000;
+        assert!(tries.any(|_| call(desk, "GET /-/ready") == "200"));
+        (pooler, desk)
+    };
+    let (mut older, _) = begin();
+    let (mut newer, desk) = begin();
+    older.signal("TERM");
+    older.logged("for a newer process");
+    older.signal("STOP");
+    let mut client = Client::connect(&newer);
+    for round in 0..20 {
+        assert_eq!(client.ask(&menu(&round.to_string())).value.as_deref(), Some(&b"s-1"[..]));
+    }
+    // A ban in that time is learnt when it goes on, and the folder that both share may be gone by then.
+    assert_eq!(call(desk, "POST /-/servers/s-1/disable"), "200");
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert_eq!(call(desk, "POST /-/servers/s-1/enable"), "200", "it holds in this process all the same");
+    older.signal("CONT");
+    assert!(older.child.wait().unwrap().success());
+    assert_eq!(client.ask(&menu("last")).value.as_deref(), Some(&b"s-1"[..]));
+    newer.signal("TERM");
+    assert!(newer.child.wait().unwrap().success());
+}
--- a/crates/lab/src/work/proof.rs
+++ b/crates/lab/src/work/proof.rs
@@ -25,6 +25,9 @@
     pub program: PathBuf,
 }
 
+/// Machines count as cold for so long in all scripts, in seconds.
+const COLD_S: f64 = 0.4;
+
 /// The value below which this share of them lies.
 fn quantile(of: &mut [f64], share: f64) -> f64 {
     of.sort_by(f64::total_cmp);
@@ -106,15 +109,33 @@
     Ok(well && started == ended)
 }
 
-/// The shortest that the limits of a script allow: its zones in turn, its groups one at a time, each machine at work and cold for
-/// as long as the script has it.
+/// The shortest that the limits of a script allow, in seconds: its zones in turn, so many machines of each at once, each at work and
+/// cold for as long as the script has it, and a primary after its replicas. Only the last zone's primaries have theirs done by then;
+/// all others' zones have a second turn.
 fn shortest_of(script: &Script) -> f64 {
-    let cold = 0.4;
-    let each = script.lasts.as_secs_f64() + cold;
+    let each = script.lasts.as_secs_f64() + COLD_S;
     let zones = script.zones.min(script.members);
-    let of_zone = (script.groups * script.members / zones).div_ceil(script.zone.min(script.all));
-    let (by_zone, by_group) = (of_zone * zones / script.zones_at_once.clamp(1, zones), script.members);
-    each * by_zone.max(by_group) as f64
+    let (mut primaries, mut others) = (vec![0; zones], vec![0; zones]);
+    for group in 0..script.groups {
+        for member in 0..script.members {
+            let of = if member == group % script.members { &mut primaries } else { &mut others };
+            of[member % zones] += 1;
+        }
+    }
+    let most = script.zone.min(script.all).max(1);
+    let turns = |count: usize| count.div_ceil(most);
+    let with_last = |last: usize| -> usize {
+        let of = |zone: usize| {
+            if zone == last {
+                turns(primaries[zone] + others[zone])
+            } else {
+                turns(others[zone]) + turns(primaries[zone])
+            }
+        };
+        (0..zones).map(of).sum()
+    };
+    let least = (0..zones).map(with_last).min().unwrap_or(0);
+    each * least as f64
 }
 
 /// The order of machines by each scheme, in the model, and a plot of it.
--- a/crates/net/src/succession.rs
+++ b/crates/net/src/succession.rs
@@ -88,11 +88,11 @@
         std::fs::rename(&beside, self.folder.join(NEWEST))
     }
 
-    /// Whether a newer process has said so since. What can't be read says nothing.
+    /// Whether a newer process has said so since, and lives. What can't be read says nothing.
     #[must_use]
     pub fn place_taken(&self) -> bool {
         let newest = std::fs::read(self.folder.join(NEWEST));
-        newest.is_ok_and(|newest| !newest.is_empty() && newest != self.own.as_bytes())
+        newest.is_ok_and(|newest| !newest.is_empty() && newest != self.own.as_bytes()) && !self.newer_died()
     }
 
     fn alive_file(&self, of: &str) -> PathBuf {
--- a/crates/net/src/upstream.rs
+++ b/crates/net/src/upstream.rs
@@ -219,16 +219,21 @@
         self.host.keepalive.mul_f64(IDLE_PART)
     }
 
+    /// Closes idle connections that are of no more use.
+    pub fn let_go(&self) {
+        let longest = self.longest_idle();
+        self.idle.borrow_mut().retain(|member, connections| {
+            let address = self.members.address(member).filter(|_| self.members.in_service(member));
+            connections.retain_mut(|one| one.look(address, longest) == Look::Good);
+            !connections.is_empty()
+        });
+    }
+
     /// Closes idle connections that are of no more use. Runs for ever.
     pub async fn run_upkeep(&self) {
         loop {
             Timer::after(Duration::from_millis(500)).await;
-            let longest = self.longest_idle();
-            self.idle.borrow_mut().retain(|member, connections| {
-                let address = self.members.address(member).filter(|_| self.members.in_service(member));
-                connections.retain_mut(|one| one.look(address, longest) == Look::Good);
-                !connections.is_empty()
-            });
+            self.let_go();
             self.trust.borrow_mut().forget(self.now());
             self.present.borrow_mut().retain(|_, count| Rc::strong_count(count) > 1);
         }
--- a/crates/net/src/work.rs
+++ b/crates/net/src/work.rs
@@ -346,6 +346,8 @@
                     .map(|at| plan.machines[at])
                     .collect();
                 self.parts.feed.by_plan(&out, &back);
+                // A machine is not kept waiting for what is idle there.
+                self.parts.pool.let_go();
                 if !back.is_empty() {
                     // What was heard of it before says nothing now; who leads takes it for dead until it answers.
                     let leads = work.view(clock::steady()).leads;
