Work: docs, cold servers and free ones audited, and no two records of one age

Cause: reading showed that a beaten holder could lead again with its token, that a list which is not whole would skip machines for good, and that an end of a plan would undo a drain by hand. The lab's count of cold servers pushed over was not measured yet, and free machines were watched only from the begin of work.

Change: with no token twice, and the lease is given up; gone is only what the list named as gone; by hand stays by hand; servers watched from the moment they are seen free; sends after a return counted against the usual.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The common tasks. CONFIG names the configuration for `make run`.
 CONFIG ?= config.json
 
-.PHONY: build test lint run ci lab proof-leases proof-eureka bench-eureka proof-primary proof-emulator bench-cost demo
+.PHONY: build test lint run ci lab proof-leases proof-work proof-eureka bench-eureka proof-primary proof-emulator bench-cost demo
 
 build:
 	cargo build --locked --release
@@ -54,3 +54,9 @@
 # A registry, boxes, a pooler and a client on loopback, to look at. Ends on Ctrl-C or after DEMO_S seconds.
 demo: lab
 	target/release/linnetdeal-lab demo --seconds $(or $(DEMO_S),0)
+
+# Machines out for work: scripts with processes, servers, a worker and faults, the large fleet with and without a plan, the order in
+# the model with its plot; then one JSON object.
+proof-work:
+	cargo build --locked --release -p linnetdeal -p linnetdeal-lab
+	LINNETDEAL=target/release/linnetdeal target/release/linnetdeal-lab work --side-by-side 10
--- a/crates/coordination/src/work/desk.rs
+++ b/crates/coordination/src/work/desk.rs
@@ -171,6 +171,10 @@
     voters: BTreeSet<u16>,
     store: Option<Store<K>>,
     lead: Option<Lead<K>>,
+    /// The highest token that it has led with: with none twice, so that no two records are of one age.
+    led: Token,
+    /// Somebody with a later token has been heard of: the lease is of no more use.
+    beaten: bool,
     plans: BTreeMap<PlanId, Plan>,
     partial: BTreeMap<PlanId, Parts>,
     order: VecDeque<PlanId>,
@@ -208,6 +212,8 @@
             voters,
             store,
             lead: None,
+            led: Token(0),
+            beaten: false,
             plans: BTreeMap::new(),
             partial: BTreeMap::new(),
             order: VecDeque::new(),
@@ -232,6 +238,11 @@
         }
     }
 
+    /// Whether the lease that is held is of no more use, since somebody with a later token has been heard of. Said once.
+    pub fn take_beaten(&mut self) -> bool {
+        std::mem::take(&mut self.beaten)
+    }
+
     /// Letters to be sent.
     pub fn take_letters(&mut self) -> Vec<(To, Note)> {
         std::mem::take(&mut self.out)
@@ -507,11 +518,17 @@
 
     fn take_lead(&mut self, now: Time, own: &Own) {
         let held = self.lead.as_ref().map(|lead| lead.writer.token());
-        if own.token == held && !self.lead.as_ref().is_some_and(|lead| lead.writer.is_beaten()) {
+        self.beaten |= self.lead.as_ref().is_some_and(|lead| lead.writer.is_beaten());
+        if own.token == held && !self.beaten {
             return;
         }
         self.lead = None;
-        let Some(token) = own.token.filter(|token| Some(*token) != held) else { return };
+        let Some(token) = own.token else { return };
+        if token <= self.led {
+            self.beaten = true;
+            return;
+        }
+        (self.led, self.beaten) = (token, false);
         self.round = self.round.wrapping_add(1);
         self.lead = Some(Lead {
             writer: Writer::new(token, self.round, self.voters.clone()),
--- a/crates/coordination/src/work/order.rs
+++ b/crates/coordination/src/work/order.rs
@@ -70,6 +70,8 @@
     pub changing: BTreeSet<u16>,
     /// Requests a second, by group: now, and at the last hour's peak.
     pub loads: BTreeMap<u16, (f64, f64)>,
+    /// Machines that the list had, and has no more.
+    pub gone: BTreeSet<u64>,
     /// Nothing begins at this hour.
     pub quiet: bool,
     /// The poolers have not said yet what they bear.
@@ -101,6 +103,8 @@
     Quiet,
     /// The poolers have not all had time to say what they bear.
     Unknown,
+    /// The list does not name it at present.
+    Unlisted,
     /// The plan is paused.
     Paused,
     /// It would be one voter too many.
@@ -126,6 +130,7 @@
             Self::Changing => write!(f, "the primary of its group changes, or is not known"),
             Self::Quiet => write!(f, "nothing begins at this hour"),
             Self::Unknown => write!(f, "the poolers have yet to say what they bear"),
+            Self::Unlisted => write!(f, "the list does not name it at present"),
             Self::Paused => write!(f, "the plan is paused"),
             Self::Voters => write!(f, "another voter is out"),
             Self::Hurts => write!(f, "others fail: what has not been touched comes back"),
@@ -300,7 +305,10 @@
     for (at, machine) in plan.machines.iter().enumerate() {
         let fact = known.get(machine);
         states[at] = match (states[at], fact) {
-            (State::Waiting | State::Forced | State::Handing, None) => State::Gone,
+            // A list that is not whole yet, or not believed, makes nobody go.
+            (State::Waiting | State::Forced | State::Handing, None) if facts.gone.contains(machine) => {
+                State::Gone
+            }
             (State::Leaving, _) if clear(at) => State::Free,
             (State::ForcedLeaving, _) if clear(at) => State::ForcedFree,
             (State::Warming, Some(of))
@@ -391,6 +399,11 @@
         .filter_map(|at| Some((*at, rank(*at, known.get(&plan.machines[*at])?, &turn))))
         .collect();
     order.sort_by(|(a, one), (b, other)| other.0.cmp(&one.0).then(other.1.total_cmp(&one.1)).then(a.cmp(b)));
+    for at in &left {
+        if states[*at] == State::Waiting && !known.contains_key(&plan.machines[*at]) {
+            waits.insert(*at, Why::Unlisted);
+        }
+    }
     let mut handing: BTreeSet<u16> = BTreeSet::new();
     for (at, _) in order {
         let Some(of) = known.get(&plan.machines[at]) else { continue };
--- a/crates/lab/src/ledger.rs
+++ b/crates/lab/src/ledger.rs
@@ -185,6 +185,13 @@
         self.sent.get(name).map_or(0, Vec::len)
     }
 
+    /// How many statements a box has got in this time.
+    #[must_use]
+    pub fn sends_between(&self, name: &str, from: Instant, to: Instant) -> usize {
+        let sent = self.sent.get(name).into_iter().flatten();
+        sent.filter(|one| one.first >= from && one.first < to).count()
+    }
+
     /// How answers were worded.
     #[must_use]
     pub fn outcomes(&self) -> &BTreeMap<String, u64> {
--- a/crates/lab/src/work/play.rs
+++ b/crates/lab/src/work/play.rs
@@ -29,6 +29,10 @@
 const LATE: Duration = Duration::from_millis(700);
 /// After a plan each server must be used again within this.
 const USED: Duration = Duration::from_secs(8);
+/// More than this multiple of what a cold server can do pushes it over within so long, as the settings have it; a few more say nothing.
+const FALL_MULTIPLE: f64 = 2.5;
+const FALL: Duration = Duration::from_secs(3);
+const FEW: f64 = 20.0;
 /// However many are left out.
 const ANY: usize = 256;
 /// Nothing of a plan may still count as a fault so long after a server has died: then it was known.
@@ -141,7 +145,9 @@
     rng: ChaCha8Rng,
     same: BTreeSet<usize>,
     jobs: Vec<Job>,
-    /// Machines whose begin is asked for.
+    /// Servers that were seen to be free, and since when.
+    free: BTreeMap<usize, Instant>,
+    began_at: Instant,
     hung: bool,
     dead: BTreeMap<usize, Instant>,
     by_hand: BTreeMap<usize, Instant>,
@@ -201,6 +207,8 @@
         rng: ChaCha8Rng::seed_from_u64(seed),
         same: BTreeSet::new(),
         jobs: Vec::new(),
+        free: BTreeMap::new(),
+        began_at: Instant::now(),
         hung: false,
         dead: BTreeMap::new(),
         by_hand: BTreeMap::new(),
@@ -365,6 +373,7 @@
             return;
         }
         let machines = self.machines();
+        self.watch_free(&machines);
         let open = |jobs: &[Job], machine: &str| jobs.iter().any(|job| job.machine == machine && !job.done);
         let free = machines.iter().find(|(of, state)| state.starts_with("free") && !open(&self.jobs, of));
         if let Some((machine, _)) = free.cloned() {
@@ -391,11 +400,33 @@
         }
     }
 
+    /// From when a server is free nobody may send there; whether work began is seen later.
+    fn watch_free(&mut self, machines: &[(String, String)]) {
+        for (machine, state) in machines {
+            let Some(server) = self.site.place(machine) else { continue };
+            let open = self.jobs.iter().any(|job| job.machine == *machine && job.over.is_none());
+            match (state.starts_with("free"), self.free.contains_key(&server)) {
+                (true, false) if !open => {
+                    self.site.servers[server].stand_in.watch(true);
+                    self.free.insert(server, Instant::now());
+                }
+                // Taken back untouched: it is used again, from before this was seen.
+                (false, true) if !open && state != "at work" => {
+                    self.site.servers[server].stand_in.watch(false);
+                    self.free.remove(&server);
+                }
+                _ => {}
+            }
+        }
+    }
+
     fn begin(&mut self, machine: &str) {
         self.fleet.fault(&format!("work begins on {machine}"));
         self.jobs.push(Job { machine: machine.to_owned(), began: Instant::now(), over: None, done: false });
         if let Some(server) = self.site.place(machine) {
-            self.site.servers[server].stand_in.watch(true);
+            if !self.free.contains_key(&server) {
+                self.site.servers[server].stand_in.watch(true);
+            }
             self.site.servers[server].stand_in.set_down(true);
             match self.script.listed.as_str() {
                 "so" | "late" => self.site.list(server, "draining", false),
@@ -421,7 +452,7 @@
                     self.site.servers[server].stand_in.set_down(false);
                 }
                 let touched = self.site.servers[server].stand_in.watch(false);
-                let began = self.jobs[at].began;
+                let began = self.free.remove(&server).unwrap_or(self.jobs[at].began);
                 let early: Vec<_> = touched.iter().filter(|when| **when > began).collect();
                 if !early.is_empty() {
                     self.outcome.sends_to_free += early.len();
@@ -854,6 +885,7 @@
             crowd.stop();
         }
         self.fleet.look();
+        self.look_for_pushes();
         let verdict = lock(&self.ledger).verdict();
         self.outcome.drains_broken = verdict.drains_broken;
         self.outcome.doubled = verdict.writes_doubled;
@@ -882,6 +914,26 @@
         self.outcome
     }
 
+    /// A server that came back gets no more in its first seconds than the multiple of what it usually gets that pushes a cold one over.
+    fn look_for_pushes(&mut self) {
+        let whole = self.began_at.elapsed().as_secs_f64();
+        for job in &self.jobs {
+            let (Some(over), Some(_)) = (job.over, self.site.place(&job.machine)) else { continue };
+            let ledger = lock(&self.ledger);
+            let usual = ledger.sends(&job.machine) as f64 / whole;
+            let end = (over + FALL).min(Instant::now());
+            let got = ledger.sends_between(&job.machine, over, end) as f64;
+            if got > usual * FALL_MULTIPLE * FALL.as_secs_f64() + FEW {
+                self.outcome.cold_pushed += 1;
+                drop(ledger);
+                self.fleet.fault(&format!(
+                    "PUSHED: {} got {got} in {FALL:?}, usually {usual:.1} a second",
+                    job.machine
+                ));
+            }
+        }
+    }
+
     fn breaks_clients(&self) -> bool {
         let poolers =
             |step: &Step| matches!(step.what, Do::Kill | Do::Stop | Do::Start | Do::DieAfter | Do::End);
--- a/crates/net/src/life.rs
+++ b/crates/net/src/life.rs
@@ -2,6 +2,7 @@
 //! died before the end takes clients again.
 
 use crate::flag::{Flag, Switch};
+use std::cell::Cell;
 
 /// The stages of a pooler's end.
 #[derive(Debug, Default)]
@@ -18,6 +19,8 @@
     pub ending: Flag,
     /// All is done.
     pub ended: Flag,
-    /// Emptied by hand; unlike the rest this ends when it is resumed.
+    /// The people on call have emptied it, and not ended that.
+    pub by_hand: Cell<bool>,
+    /// Emptied by hand or by a plan; unlike the rest this ends when it is resumed.
     pub drained: Switch,
 }
--- a/crates/net/src/operation.rs
+++ b/crates/net/src/operation.rs
@@ -143,6 +143,7 @@
             ["servers", id, what] => self.server(id, what == "disable"),
             _ => {
                 let on = rest == "drain";
+                self.life.by_hand.set(on);
                 self.life.drained.turn(on);
                 tracing::info!("{} by hand", if on { "drained" } else { "resumed" });
                 no(StatusCode::OK, if on { "draining" } else { "taking clients" })
--- a/crates/net/src/work.rs
+++ b/crates/net/src/work.rs
@@ -281,6 +281,7 @@
         let mut work = self.work.borrow_mut();
         work.tick(now, &own, &|kind| self.facts(kind, &heard));
         let letters = work.take_letters();
+        let beaten = work.take_beaten();
         if work.give_up_waiting(now) {
             tracing::warn!("work: no majority of voters has told what is out; serving by what was heard");
         }
@@ -289,6 +290,9 @@
         }
         drop(work);
         self.parts.leases.say(letters);
+        if beaten {
+            let _ = self.parts.leases.by_hand(TASK, "release", None);
+        }
         self.act();
         self.write_beside();
         self.ask_and_hand_over(own.token);
@@ -368,7 +372,8 @@
                 let away = work.own_is_out();
                 if away != self.emptied.replace(away) {
                     tracing::info!("work: this pooler's machine is {}", if away { "out" } else { "back" });
-                    self.parts.life.drained.turn(away);
+                    // What was emptied by hand stays so.
+                    self.parts.life.drained.turn(away || self.parts.life.by_hand.get());
                     self.parts.leases.abstain(away, &self.wanted.tasks);
                 }
             }
@@ -505,12 +510,13 @@
         let fails = self.failing();
         let wall = self.parts.feed.now();
         let group = |of: GroupId| u16::try_from(of.0).unwrap_or(u16::MAX);
-        let mut machines = Vec::new();
+        let (mut machines, mut gone) = (Vec::new(), BTreeSet::new());
         for (id, known) in self.parts.members.all() {
+            let machine = stands_for(&id.0);
             if known.state == ListState::Gone {
+                gone.insert(machine);
                 continue;
             }
-            let machine = stands_for(&id.0);
             let capacity = self.wanted.capacity.get(&known.machine).or(self.wanted.capacity.get(""));
             machines.push(Fact {
                 machine,
@@ -528,7 +534,7 @@
         let known: BTreeSet<u16> = machines.iter().filter(|of| of.primary).map(|of| of.group).collect();
         let without = machines.iter().map(|of| of.group).filter(|of| !known.contains(of));
         let changing = changing.into_iter().map(group).chain(without).collect();
-        Facts { machines, changing, loads: heard.loads.clone(), quiet, ..Facts::default() }
+        Facts { machines, changing, loads: heard.loads.clone(), gone, quiet, ..Facts::default() }
     }
 
     fn is_quiet(&self) -> bool {
