--- a/crates/lab/src/work/play.rs
+++ b/crates/lab/src/work/play.rs
@@ -33,6 +33,8 @@
 const FALL_MULTIPLE: f64 = 2.5;
 const FALL: Duration = Duration::from_secs(3);
 const FEW: f64 = 20.0;
+/// Requests a second of a server of which silence for [`USED`] says something.
+const USUAL: f64 = 2.0;
 /// However many are left out.
 const ANY: usize = 256;
 /// Nothing of a plan may still count as a fault so long after a server has died: then it was known.
@@ -547,7 +549,11 @@
     /// Every server that lives is used again, by clients that go on as before.
     fn all_are_used(&mut self) -> Result<(), Failure> {
         let out: BTreeSet<usize> = self.dead.keys().chain(self.by_hand.keys()).copied().collect();
-        let alive: Vec<usize> = (0..self.site.servers.len()).filter(|at| !out.contains(at)).collect();
+        // One that was hardly used before may well not be for a while.
+        let whole = self.began_at.elapsed().as_secs_f64();
+        let usual = |at: &usize| self.sends(*at) as f64 / whole >= USUAL;
+        let alive: Vec<usize> =
+            (0..self.site.servers.len()).filter(|at| !out.contains(at) && usual(at)).collect();
         let before: Vec<usize> = alive.iter().map(|at| self.sends(*at)).collect();
         let end = Instant::now() + USED;
         let mut unused = alive.clone();
