Leases' tests build again beside the lab's lists by pooler, and clippy is clean

Change: one function for its fleets; rounds and numbers as one argument; partition instead of extract_if.

--- a/crates/coordination/src/work/desk.rs
+++ b/crates/coordination/src/work/desk.rs
@@ -813,7 +813,7 @@
             }
         }
         if let Some(lead) = &mut self.lead {
-            lead.writer.seen(&self.council, from, round, own, blank, promised, record);
+            lead.writer.seen(&self.council, from, (round, own), blank, promised, record);
         }
     }
 
--- a/crates/coordination/tests/register.rs
+++ b/crates/coordination/tests/register.rs
@@ -113,7 +113,7 @@
                     }
                     Note::Seen { round, own, blank, promised, record } if of_holder => {
                         let holder = &mut holders[who].writer;
-                        holder.seen(&council, voter, round, own, blank, promised, record);
+                        holder.seen(&council, voter, (round, own), blank, promised, record);
                     }
                     Note::Seen { round, blank, promised, record, .. } => {
                         stores[who].seen(&council, voter, round, blank, promised, &record);
@@ -174,7 +174,7 @@
             let (true, Note::Read { round, promise, own }) = (of.contains(&voter), note) else { continue };
             let answer = stores[usize::from(voter)].read(9, round, promise, own);
             let Note::Seen { round, own, blank, promised, record } = answer else { unreachable!() };
-            writer.seen(&council, voter, round, own, blank, promised, record);
+            writer.seen(&council, voter, (round, own), blank, promised, record);
         }
     };
     let write = |stores: &mut Vec<Store<K>>, writer: &Writer<K>, to: u16| {
--- a/crates/coordination/tests/work.rs
+++ b/crates/coordination/tests/work.rs
@@ -293,7 +293,8 @@
     fn step(&mut self) {
         self.now = Time(self.now.0 + 10_000);
         let now = self.now;
-        let due: Vec<_> = self.letters.extract_if(.., |(at, ..)| *at <= now).collect();
+        let (due, later): (Vec<_>, Vec<_>) = self.letters.drain(..).partition(|(at, ..)| *at <= now);
+        self.letters = later;
         for (_, from, to, note) in due {
             if self.cut.contains(&to) || self.cut.contains(&from.number) {
                 continue;
--- a/crates/daemon/tests/leases.rs
+++ b/crates/daemon/tests/leases.rs
@@ -23,6 +23,19 @@
     Script::folder(&folder).expect("scripts")
 }
 
+/// A fleet whose poolers all know the same servers and follow no list.
+fn spec(count: usize, seed: u64, known: serde_json::Value) -> Spec {
+    Spec {
+        program: PROGRAM.into(),
+        count,
+        seed,
+        known: Box::new(move |_| known.clone()),
+        discovery: Vec::new(),
+        zones: Vec::new(),
+        between: Box::new(|_, _| true),
+    }
+}
+
 #[test]
 fn two_holders_never_act_at_once_whatever_fails() {
     let _one = lock(&ONE);
@@ -69,7 +82,7 @@
     std::fs::create_dir_all(&folder).expect("a folder");
     let text = operator(&folder, "a key that is long enough");
     let known = json!({"generation": 1, "reset": true, "instances": []});
-    let spec = Spec { program: PROGRAM.into(), count: 3, seed: 4, known, between: Box::new(|_, _| true) };
+    let spec = spec(3, 4, known);
     let mut fleet = Fleet::lay(spec).expect("a fleet");
     for at in 0..3 {
         fleet.start(at, &text, &[]).expect("a start");
@@ -149,7 +162,7 @@
     };
     let list: Vec<Value> = family.addresses.iter().enumerate().map(entry).collect();
     let known = json!({"generation": 1, "reset": true, "instances": list});
-    let spec = Spec { program: PROGRAM.into(), count: 5, seed: 6, known, between: Box::new(|_, _| true) };
+    let spec = spec(5, 6, known);
     let mut fleet = Fleet::lay(spec).expect("a fleet");
     fleet.settings["FamilyInfo"]["WhenBehind"] = "bounce".into();
     for at in 0..5 {
--- a/crates/lab/src/work/play.rs
+++ b/crates/lab/src/work/play.rs
@@ -317,7 +317,8 @@
     /// Looks at the plan as its leader sees it, does what the worker and the list have to do.
     fn pump(&mut self) {
         let now = Instant::now();
-        let due: Vec<_> = self.listed.extract_if(.., |(at, ..)| *at <= now).collect();
+        let (due, later): (Vec<_>, Vec<_>) = self.listed.drain(..).partition(|(at, ..)| *at <= now);
+        self.listed = later;
         for (_, server, lifecycle) in due {
             self.site.list(server, lifecycle, lifecycle == "up");
         }
--- a/crates/net/src/work.rs
+++ b/crates/net/src/work.rs
@@ -169,7 +169,7 @@
                 }
             }
             (None, Some(of)) => {
-                if of.all == !of.numbers.is_empty() {
+                if of.all != of.numbers.is_empty() {
                     return Err("name poolers by numbers, or all".to_owned());
                 }
                 if let Some(number) = of.numbers.iter().find(|number| **number >= fleet) {
@@ -691,8 +691,7 @@
     pub(crate) async fn submit(self: &Rc<Self>, body: &[u8]) -> Result<String, (u16, String)> {
         let bad = |words: String| (400, words);
         let asked = Asked::read(body).map_err(bad)?;
-        let (kind, machines) =
-            asked.machines(&self.choosable(), self.wanted.setup.fleet).map_err(|words| bad(words))?;
+        let (kind, machines) = asked.machines(&self.choosable(), self.wanted.setup.fleet).map_err(bad)?;
         let count = machines.len();
         let now = clock::steady();
         let submitted = self.work.borrow_mut().submit(now, kind, machines.clone());
