Windows: each pooler draws its random pick from two members, by its rank

Change: place_read's dice % pool.len() is put into the window of the router's rank (core/subset.rs); the forward step leaves it. Few routers or members draw from all as before.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -342,9 +342,8 @@
         let gid = open.group;
         let primary = self.shown(now, gid).or(self.on_trial(now, gid).filter(|_| fresh_only));
         let group = self.groups.get(&gid)?;
-        let replicas = group.members.iter().map(|id| (id, &self.members[id]));
-        let replicas = replicas.filter(|(id, m)| self.sendable(m) && Some(*id) != primary);
-        let replicas: Vec<_> = replicas.filter(|_| !fresh_only).collect();
+        let replicas = group.members.iter().map(|id| (id, &self.members[id])).filter(|_| !fresh_only);
+        let replicas: Vec<_> = replicas.filter(|(id, m)| self.sendable(m) && Some(*id) != primary).collect();
         let usual = self.pace[open.class].takes(0.0).min((open.aim - open.arrived).times(USUAL_MOST));
         // Tried members and suspects serve only where nobody better is left, the primary included.
         let rank = |(id, m): &(&MemberId, &Member)| {
@@ -377,8 +376,9 @@
         } else {
             let loads: Vec<f64> = pool.iter().map(|(_, m)| self.load(m, now)).collect();
             let valid = THRESHOLD * loads.iter().sum::<f64>() / loads.len() as f64;
-            let mut steps = (0..=FORWARD.min(pool.len() - 1)).map(|step| (dice + step) % pool.len());
-            let at = steps.find(|at| loads[*at] <= valid).unwrap_or(dice % pool.len());
+            let first = crate::subset::first(dice, self.settings.rank, self.settings.fleet, pool.len());
+            let mut steps = (0..=FORWARD.min(pool.len() - 1)).map(|step| (first + step) % pool.len());
+            let at = steps.find(|at| loads[*at] <= valid).unwrap_or(first);
             Some(pool[at].0.clone())
         };
         let bound = |class: &Class| if let Need::Bounded(bound) = class.need { Some(bound) } else { None };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod settings;
 mod slowness;
 mod state;
+pub mod subset;
 pub mod succession;
 pub mod trust;
 
