--- a/crates/coordination/src/lease/message.rs
+++ b/crates/coordination/src/lease/message.rs
@@ -309,28 +309,29 @@
     if read.0.is_empty() { Ok(letter) } else { Err(Refused::Malformed) }
 }
 
-struct Reader<'b>(&'b [u8]);
+/// Bytes that are read from the front; `None` where there are too few, or they mean nothing.
+pub(crate) struct Reader<'b>(pub(crate) &'b [u8]);
 
 impl Reader<'_> {
-    fn take<const N: usize>(&mut self) -> Option<[u8; N]> {
+    pub(crate) fn take<const N: usize>(&mut self) -> Option<[u8; N]> {
         let (head, rest) = self.0.split_first_chunk::<N>()?;
         self.0 = rest;
         Some(*head)
     }
 
-    fn short(&mut self) -> Option<u16> {
+    pub(crate) fn short(&mut self) -> Option<u16> {
         Some(u16::from_be_bytes(self.take()?))
     }
 
-    fn word(&mut self) -> Option<u32> {
+    pub(crate) fn word(&mut self) -> Option<u32> {
         Some(u32::from_be_bytes(self.take()?))
     }
 
-    fn long(&mut self) -> Option<u64> {
+    pub(crate) fn long(&mut self) -> Option<u64> {
         Some(u64::from_be_bytes(self.take()?))
     }
 
-    fn flag(&mut self) -> Option<bool> {
+    pub(crate) fn flag(&mut self) -> Option<bool> {
         match self.take::<1>()? {
             [0] => Some(false),
             [1] => Some(true),
@@ -346,7 +347,7 @@
         Some(TaskId(self.word()?))
     }
 
-    fn token(&mut self) -> Option<Token> {
+    pub(crate) fn token(&mut self) -> Option<Token> {
         Some(Token(self.long()?))
     }
 
@@ -402,11 +403,7 @@
                 Body::Positions { task, positions }
             }
             7 => Body::Offer { task: self.task()?, token: self.token()? },
-            form => {
-                let note = work::take(form, self.0)?;
-                self.0 = &[];
-                Body::Work(note)
-            }
+            form => Body::Work(work::take(form, self)?),
         })
     }
 }
--- a/crates/coordination/src/lease/mod.rs
+++ b/crates/coordination/src/lease/mod.rs
@@ -10,6 +10,7 @@
 
 pub use claimant::{Claimant, Round, Stage, Step};
 pub use council::Council;
+pub(crate) use message::Reader;
 pub use message::{Body, Key, LONGEST, Letter, MAGIC, Position, Refused, Seen, open, seal, sign};
 pub use node::{LeaseSetup, Node, Note, TaskSetup, TaskView};
 pub use voter::{Answer, Holder, MOST_TASKS, Voter};
--- a/crates/coordination/src/work/desk.rs
+++ b/crates/coordination/src/work/desk.rs
@@ -18,12 +18,15 @@
 const MOST_CALLS: usize = 32;
 /// A call is given up after so many words' time.
 const CALL_WORDS: i64 = 40;
+/// Groups that one pooler is heard to bear something of.
+const MOST_GROUPS: usize = 1_024;
 /// Lives of one pooler that are told apart.
 const MOST_LIVES: usize = 4;
 /// A holder that finds no plan takes none for so many words' time, in which others may tell of one.
 const COPIES: i64 = 4;
-/// The first step waits for so many words' time: until then too little is known of load and poolers.
-const FIRST_WORDS: i64 = 4;
+/// The first step waits for so many words' time, and for as many as it takes a pooler to tell of all groups: until then too little is
+/// known of load and poolers.
+const FIRST_WORDS: i64 = 3;
 /// A word older than so many words' time says nothing of load.
 const STALE: i64 = 10;
 /// Letters with machines that answer one question.
@@ -132,6 +135,18 @@
     life: u64,
     word: Word,
     at: Time,
+    /// What it bears, by group, and when it said so: one word has room for some of them.
+    loads: BTreeMap<u16, (Load, Time)>,
+}
+
+impl Heard {
+    fn take_loads(&mut self, now: Time, loads: &[Load]) {
+        for load in loads {
+            if self.loads.len() < MOST_GROUPS || self.loads.contains_key(&load.group) {
+                self.loads.insert(load.group, (*load, now));
+            }
+        }
+    }
 }
 
 struct Call {
@@ -161,7 +176,6 @@
     own: Option<(Token, u32)>,
     /// The version with which each machine left, where this holder has taken it out.
     left: Vec<u32>,
-    fresh: bool,
 }
 
 /// One pooler.
@@ -181,7 +195,6 @@
     /// The newest that a majority has stored, as far as is known.
     heard: Record,
     heard_from: u16,
-    acted: Time,
     times: Vec<Time>,
     started: bool,
     began: Time,
@@ -194,6 +207,8 @@
     word_due: Time,
     asked: Time,
     last_word: Option<Word>,
+    /// The place of the load that the next word begins with.
+    next_load: usize,
     out: Vec<(To, Note)>,
     own: VecDeque<Note>,
     rng: ChaCha8Rng,
@@ -219,7 +234,6 @@
             order: VecDeque::new(),
             heard: Record::default(),
             heard_from: setup.me.number,
-            acted: now,
             times: Vec::new(),
             started: false,
             began: now,
@@ -231,6 +245,7 @@
             word_due: now,
             asked: Time(i64::MIN / 4),
             last_word: None,
+            next_load: 0,
             out: Vec::new(),
             own: VecDeque::new(),
             rng,
@@ -317,12 +332,12 @@
     /// What all poolers that were heard lately bear, by group: now, and at the busiest minute of the last hour.
     #[must_use]
     pub fn loads(&self, now: Time) -> BTreeMap<u16, (f64, f64)> {
-        let stale = Span(self.setup.every.0 * STALE);
         let mut loads: BTreeMap<u16, (f64, f64)> = BTreeMap::new();
-        for heard in
-            self.words.values().filter_map(|lives| lives.last()).filter(|heard| now - heard.at < stale)
-        {
-            for load in &heard.word.loads {
+        for heard in self.words.values().filter_map(|lives| lives.last()) {
+            // Each group has its turn once in so many words.
+            let turns = heard.loads.len().div_ceil(Word::MOST_LOADS).max(1) as i64;
+            let stale = Span(self.setup.every.0 * STALE * turns);
+            for (load, _) in heard.loads.values().filter(|(_, at)| now - *at < stale) {
                 let sum = loads.entry(load.group).or_default();
                 sum.0 += f64::from(load.now);
                 sum.1 += f64::from(load.peak);
@@ -541,7 +556,6 @@
             calls: VecDeque::new(),
             own: None,
             left: Vec::new(),
-            fresh: true,
         });
     }
 
@@ -557,8 +571,8 @@
                 lead.times = vec![now; record.states.len()];
                 lead.writer.write(record);
                 lead.sent = Time(i64::MIN / 4);
-            } else if self.heard.plan != record.plan {
-                // Its voters know the machines.
+            } else {
+                // Its voters know the machines; who told of it last may be dead.
                 let at = self.partial.get(&record.plan).map_or(0, Parts::lacks);
                 let me = self.setup.me.number;
                 let ask: Vec<u16> = self.voters.iter().copied().filter(|of| *of != me).collect();
@@ -572,10 +586,9 @@
             }
         }
         if let Some(settled) = lead.writer.settled().cloned() {
-            if lead.own.is_none() {
-                lead.own = Some(settled.age());
-            }
-            if std::mem::take(&mut lead.fresh) || settled.age() > self.heard.age() {
+            let first = lead.own.is_none();
+            lead.own.get_or_insert(settled.age());
+            if first || settled.age() > self.heard.age() {
                 let calls = std::mem::take(&mut lead.calls);
                 lead.told.clear();
                 for (to, call, said) in calls {
@@ -604,7 +617,9 @@
         let mut facts = facts(plan.kind);
         // Each pooler has to say first what it bears.
         let begun = self.lead.as_ref().map_or(now, |lead| lead.begun.max(lead.since));
-        facts.unknown = now - begun < Span(self.setup.every.0 * FIRST_WORDS);
+        let groups: BTreeSet<u16> = facts.machines.iter().map(|of| of.group).collect();
+        let words = FIRST_WORDS + groups.len().div_ceil(Word::MOST_LOADS) as i64;
+        facts.unknown = now - begun < Span(self.setup.every.0 * words);
         let lead_times = self.lead.as_ref().map(|lead| lead.times.clone()).unwrap_or_default();
         let clear = |at: usize| self.missing(&plan, at).is_empty();
         let Next { states, mode, waits } =
@@ -702,7 +717,7 @@
             blank: self.store.as_ref().is_some_and(Store::is_blank),
             zone: own.zone,
             failing: own.failing.iter().copied().take(Word::MOST_FAILING).collect(),
-            loads: own.loads.iter().copied().take(Word::MOST_LOADS).collect(),
+            loads: Vec::new(),
         };
         let changed = self.last_word.as_ref().is_none_or(|last| {
             (last.plan, last.token, last.version, &last.clear, last.blank)
@@ -718,6 +733,11 @@
         self.word_due =
             now + Span(pause - pause / 8 + (self.rng.next_u64() >> 1) as i64 % (pause / 4).max(1));
         self.last_word = Some(word.clone());
+        // Groups have their turns where one word has no room for all.
+        let first = self.next_load % own.loads.len().max(1);
+        let loads = own.loads.iter().cycle().skip(first).take(own.loads.len().min(Word::MOST_LOADS));
+        let word = Word { loads: loads.copied().collect(), ..word };
+        self.next_load = first + Word::MOST_LOADS;
         // What was learnt from another process of this pooler was told by nobody.
         let unknown = self.heard_from == self.setup.me.number && self.lead.is_none();
         let to = own.holder.filter(|_| unknown).unwrap_or(self.heard_from);
@@ -765,14 +785,10 @@
                 }
             }
             Note::Part { plan, kind, nonce, count, at, machines } => {
-                self.part(
-                    now,
-                    from.number,
-                    plan,
-                    Parts { kind, nonce, machines: vec![None; count.into()] },
-                    at,
-                    &machines,
-                );
+                if usize::from(count) <= MOST_MACHINES {
+                    let parts = Parts { kind, nonce, machines: vec![None; count.into()] };
+                    self.part(from.number, plan, parts, at, &machines);
+                }
             }
             Note::Call { call, verb, plan, at } => self.called(now, from.number, call, verb, plan, at),
             Note::Reply { call, said } => {
@@ -817,13 +833,14 @@
         }
     }
 
-    fn word(&mut self, now: Time, from: Who, word: Word) {
+    fn word(&mut self, now: Time, from: Who, mut word: Word) {
+        let loads = std::mem::take(&mut word.loads);
         let stale = Span(self.setup.every.0 * STALE);
-        // A copy of what was there before all voters lost their memory.
         let lives = self.words.entry(from.number).or_default();
         match lives.iter_mut().find(|heard| heard.life == from.life) {
             // Of one life the later record counts: letters may overtake each other.
             Some(heard) => {
+                heard.take_loads(now, &loads);
                 if (word.token, word.version) >= (heard.word.token, heard.word.version) {
                     (heard.word, heard.at) = (word, now);
                 }
@@ -833,7 +850,9 @@
                 if lives.len() == MOST_LIVES {
                     lives.remove(0);
                 }
-                lives.push(Heard { life: from.life, word, at: now });
+                let mut heard = Heard { life: from.life, loads: BTreeMap::new(), word, at: now };
+                heard.take_loads(now, &loads);
+                lives.push(heard);
             }
         }
         // An earlier life that says no more has made room for a later one, which speaks for all processes of its place.
@@ -841,9 +860,9 @@
         lives.retain(|heard| Some(heard.life) == newest || now - heard.at < stale);
     }
 
-    fn part(&mut self, now: Time, from: u16, plan: PlanId, mut parts: Parts, at: u16, machines: &[u64]) {
+    fn part(&mut self, from: u16, plan: PlanId, mut parts: Parts, at: u16, machines: &[u64]) {
         let wanted = plan == self.heard.plan || self.lead.is_some() || self.store.is_some();
-        if self.plans.contains_key(&plan) || !wanted || parts.machines.len() > MOST_MACHINES {
+        if self.plans.contains_key(&plan) || !wanted {
             return;
         }
         if self.partial.len() >= MOST_PLANS && !self.partial.contains_key(&plan) {
@@ -859,9 +878,6 @@
             if whole.id() == plan {
                 self.keep(whole);
                 self.asked = Time(i64::MIN / 4);
-                if plan == self.heard.plan {
-                    self.acted = now;
-                }
             }
         } else if known.lacks() >= usize::from(at) + machines.len()
             && known.lacks() % (PART * PARTS_AT_ONCE) == 0
@@ -909,7 +925,6 @@
             }
         }
         self.heard = record.clone();
-        self.acted = now;
         self.asked = Time(i64::MIN / 4);
     }
 
--- a/crates/coordination/src/work/record.rs
+++ b/crates/coordination/src/work/record.rs
@@ -1,6 +1,7 @@
 //! A plan, which never changes, and its record, which says how far each machine is.
 
 use crate::lease::Token;
+use linnetdeal_core::membership::fnv;
 
 /// No plan names more machines: its record has to fit into one datagram.
 pub const MOST_MACHINES: usize = 256;
@@ -37,13 +38,6 @@
     pub const NONE: Self = Self(0);
 }
 
-fn fnv(bytes: impl IntoIterator<Item = u8>) -> u64 {
-    // FNV-1a, 64 bits.
-    bytes.into_iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-    })
-}
-
 impl Plan {
     /// Its name. A name that stands for no plan is not drawn.
     #[must_use]
--- a/crates/coordination/src/work/register.rs
+++ b/crates/coordination/src/work/register.rs
@@ -150,7 +150,9 @@
             number == 0
                 || self.numbers.get(&of).and_then(|known| known.last()).is_none_or(|last| *last == number)
         };
-        let known = !K::NUMBERS || voters.iter().zip(numbers).all(|(of, number)| fits(*of, *number));
+        // A write that does not name all goes by another set of voters, or was cut.
+        let whole = voters.len() == numbers.len();
+        let known = !K::NUMBERS || whole && voters.iter().zip(numbers).all(|(of, number)| fits(*of, *number));
         let refused = self.blank || !known || token < self.promised;
         if !refused && record.age() >= self.record.age() {
             (self.promised, self.record) = (token, record.clone());
--- a/crates/coordination/src/work/wire.rs
+++ b/crates/coordination/src/work/wire.rs
@@ -3,7 +3,7 @@
 use super::record::{
     Kind, Load, MOST_MACHINES, Mode, Note, PART, Places, PlanId, Record, Said, State, Verb, Word,
 };
-use crate::lease::Token;
+use crate::lease::Reader;
 
 /// The form of the first of them; those before belong to leases.
 const FIRST: u8 = 16;
@@ -114,56 +114,26 @@
     }
 }
 
-/// Reads one whole, or not at all.
-pub(crate) fn take(form: u8, bytes: &[u8]) -> Option<Note> {
-    let mut read = Reader(bytes);
-    let note = read.note(form.checked_sub(FIRST)?)?;
-    read.0.is_empty().then_some(note)
+/// Reads one, to the end of what is there.
+pub(crate) fn take(form: u8, read: &mut Reader<'_>) -> Option<Note> {
+    read.note(form.checked_sub(FIRST)?)
 }
 
-struct Reader<'b>(&'b [u8]);
-
 impl Reader<'_> {
-    fn take<const N: usize>(&mut self) -> Option<[u8; N]> {
-        let (head, rest) = self.0.split_first_chunk::<N>()?;
-        self.0 = rest;
-        Some(*head)
-    }
-
     fn byte(&mut self) -> Option<u8> {
         Some(self.take::<1>()?[0])
     }
 
-    fn short(&mut self) -> Option<u16> {
-        Some(u16::from_be_bytes(self.take()?))
-    }
-
-    fn word32(&mut self) -> Option<u32> {
-        Some(u32::from_be_bytes(self.take()?))
-    }
-
-    fn long(&mut self) -> Option<u64> {
-        Some(u64::from_be_bytes(self.take()?))
-    }
-
-    fn flag(&mut self) -> Option<bool> {
-        [false, true].get(usize::from(self.byte()?)).copied()
-    }
-
     fn one<T: Copy>(&mut self, all: &[T]) -> Option<T> {
         all.get(usize::from(self.byte()?)).copied()
     }
 
-    fn token(&mut self) -> Option<Token> {
-        Some(Token(self.long()?))
-    }
-
     fn plan(&mut self) -> Option<PlanId> {
         Some(PlanId(self.long()?))
     }
 
     fn record(&mut self) -> Option<Record> {
-        let (token, version, plan) = (self.token()?, self.word32()?, self.plan()?);
+        let (token, version, plan) = (self.token()?, self.word()?, self.plan()?);
         let (mode, count) = (self.one(&Mode::ALL)?, usize::from(self.short()?));
         if count > MOST_MACHINES {
             return None;
@@ -182,7 +152,7 @@
     }
 
     fn said_word(&mut self) -> Option<Word> {
-        let (plan, token, version) = (self.plan()?, self.token()?, self.word32()?);
+        let (plan, token, version) = (self.plan()?, self.token()?, self.word()?);
         let (blank, zone, size) = (self.flag()?, self.short()?, usize::from(self.byte()?));
         if size > MOST_MACHINES / 8 || size > self.0.len() {
             return None;
@@ -204,10 +174,10 @@
 
     fn note(&mut self, form: u8) -> Option<Note> {
         Some(match form {
-            0 => Note::Read { round: self.word32()?, promise: self.token()?, own: self.word32()? },
+            0 => Note::Read { round: self.word()?, promise: self.token()?, own: self.word()? },
             1 => Note::Seen {
-                round: self.word32()?,
-                own: self.word32()?,
+                round: self.word()?,
+                own: self.word()?,
                 blank: self.flag()?,
                 promised: self.token()?,
                 record: self.record()?,
@@ -217,13 +187,13 @@
                 if count > MOST_VOTERS {
                     return None;
                 }
-                let numbers: Option<Vec<u32>> = (0..count).map(|_| self.word32()).collect();
+                let numbers: Option<Vec<u32>> = (0..count).map(|_| self.word()).collect();
                 Note::Write { numbers: numbers?, record: self.record()? }
             }
             3 => Note::Stored {
                 token: self.token()?,
-                version: self.word32()?,
-                own: self.word32()?,
+                version: self.word()?,
+                own: self.word()?,
                 refused: self.flag()?,
                 promised: self.token()?,
             },
@@ -241,12 +211,12 @@
                 Note::Part { plan, kind, nonce, count, at, machines }
             }
             8 => Note::Call {
-                call: self.word32()?,
+                call: self.word()?,
                 verb: self.one(&Verb::ALL)?,
                 plan: self.plan()?,
                 at: self.short()?,
             },
-            9 => Note::Reply { call: self.word32()?, said: self.one(&Said::ALL)? },
+            9 => Note::Reply { call: self.word()?, said: self.one(&Said::ALL)? },
             _ => return None,
         })
     }
--- a/crates/coordination/tests/register.rs
+++ b/crates/coordination/tests/register.rs
@@ -141,6 +141,22 @@
     (bad, stored)
 }
 
+#[test]
+fn a_write_that_does_not_name_all_voters_is_refused() {
+    let voters: BTreeSet<u16> = (0..3).collect();
+    let council = Council::new(voters.clone(), vec![]);
+    let mut store: Store<Whole> = Store::new(2, 1_002);
+    store.ask(1);
+    for other in [0, 1] {
+        store.seen(&council, other, 1, true, Token(0), &Record::default());
+    }
+    let record = Record { token: Token(5), version: 1, ..Record::default() };
+    for (numbers, refuses) in [(&[7, 8][..], true), (&[7, 8, 1_002, 9], true), (&[7, 8, 1_002], false)] {
+        let answer = store.write(&voters, numbers, &record);
+        assert!(matches!(answer, Note::Stored { refused, .. } if refused == refuses), "{numbers:?}");
+    }
+}
+
 fn found<K: Keeping>(seeds: u64) -> Option<u64> {
     (0..seeds).find(|seed| play::<K>(*seed, if seed % 2 == 0 { 3 } else { 5 }).0)
 }
--- a/crates/coordination/tests/work.rs
+++ b/crates/coordination/tests/work.rs
@@ -237,6 +237,8 @@
     most_out: usize,
     cut: BTreeSet<u16>,
     lost: u32,
+    /// What each pooler bears.
+    loads: Vec<Load>,
 }
 
 impl Fleet {
@@ -256,6 +258,7 @@
             most_out: 0,
             cut: BTreeSet::new(),
             lost: 50,
+            loads: Vec::new(),
         };
         (0..count).for_each(|number| fleet.start(number));
         fleet
@@ -330,7 +333,8 @@
                 None => Places::default(),
             };
             let holder = self.holders.iter().max_by_key(|(_, token)| **token).map(|(of, _)| *of);
-            let own = Own { token, holder, clear, clear_of: pooler.work.age(), ..Own::default() };
+            let (clear_of, loads) = (pooler.work.age(), self.loads.clone());
+            let own = Own { token, holder, clear, clear_of, loads, ..Own::default() };
             pooler.work.tick(now, &own, &|_| facts.clone());
             let who = pooler.who;
             sent.extend(pooler.work.take_letters().into_iter().map(|letter| (who, letter)));
@@ -515,6 +519,30 @@
     assert!(faults > 200, "{faults} faults were caused");
 }
 
+#[test]
+fn a_holder_hears_what_others_bear_of_more_groups_than_one_word_has_room_for() {
+    let mut fleet = Fleet::new(3, 1, 3);
+    fleet.lost = 0;
+    for _ in 0..50 {
+        fleet.step();
+    }
+    fleet.elect(false);
+    let machines: Vec<u64> = fleet.facts.machines.iter().map(|of| of.machine).collect();
+    let now = fleet.now;
+    fleet.poolers[0].as_mut().unwrap().work.submit(now, Kind::Servers, machines).unwrap();
+    let groups = 3 * Word::MOST_LOADS as u16 + 1;
+    fleet.loads = (0..groups).map(|group| Load { group, now: group, peak: 2 * group }).collect();
+    for _ in 0..150 {
+        fleet.step();
+    }
+    let holder = fleet.holders.keys().next().copied().unwrap();
+    let heard = fleet.poolers[usize::from(holder)].as_ref().unwrap().work.loads(fleet.now);
+    for group in 0..groups {
+        let all = 3.0 * f64::from(group);
+        assert_eq!(heard.get(&group), Some(&(all, 2.0 * all)), "group {group} of {groups}");
+    }
+}
+
 fn any_record() -> impl Strategy<Value = Record> {
     let states = prop::collection::vec(0..State::ALL.len(), 0..=MOST_MACHINES);
     (any::<u64>(), any::<u32>(), any::<u64>(), 0..4_usize, states).prop_map(
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -232,7 +232,7 @@
     pub changes: [Option<Expected>; 2],
     /// Whether [`Action::Tell`] is allowed.
     pub peers: bool,
-    /// The own number among the routers of the fleet.
+    /// The own number among the routers of the fleet; [`Settings::NO_RANK`] where it was not told.
     pub rank: u32,
     /// What one full message (256 bytes) for each request costs, as a part of G.
     pub peer_price: f64,
@@ -256,6 +256,11 @@
     pub worst_class: f64,
 }
 
+impl Settings {
+    /// Stands for a number that was not told.
+    pub const NO_RANK: u32 = u32::MAX;
+}
+
 impl Default for Settings {
     /// The most careful reading of every setting: no classes, nothing optional allowed.
     fn default() -> Self {
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -15,14 +15,20 @@
 /// No more members than this may be out by hand.
 pub const MOST_BANS: usize = 10_000;
 
-/// What stands for a member's id where ids are too long to be told (FNV-1a, 64 bits).
+/// FNV-1a, 64 bits.
 #[must_use]
-pub fn stands_for(id: &str) -> u64 {
-    id.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+pub fn fnv(bytes: impl IntoIterator<Item = u8>) -> u64 {
+    bytes.into_iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
     })
 }
 
+/// What stands for a member's id where ids are too long to be told.
+#[must_use]
+pub fn stands_for(id: &str) -> u64 {
+    fnv(id.bytes())
+}
+
 /// A source of claims, in the order in which the host numbers them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SourceId(pub u8);
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -115,7 +115,8 @@
         Self {
             on: settings.peers && settings.fleet > 1,
             fleet: settings.fleet,
-            rank: settings.rank,
+            // Who was told no number is taken for the first, as ever.
+            rank: if settings.rank == Settings::NO_RANK { 0 } else { settings.rank },
             site: digest(&site),
             rng: ChaCha8Rng::seed_from_u64(seed),
             earns: ALLOWED / price * FULL,
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -193,7 +193,7 @@
         },
         changes: [None; 2],
         peers: keys.flag("Limits.Peers").unwrap_or(false),
-        rank: keys.number_or("Rank", 0.0)?.max(0.0) as u32,
+        rank: keys.number_or("Rank", f64::from(Settings::NO_RANK))?.max(0.0) as u32,
         peer_price: keys.number_or("Costs.Peer", 0.0)?,
     })
 }
--- a/crates/core/src/subset.rs
+++ b/crates/core/src/subset.rs
@@ -13,7 +13,9 @@
 #[must_use]
 pub fn first(draw: usize, rank: u32, routers: u32, members: usize) -> usize {
     let (count, routers) = (members as f64, f64::from(routers.max(1)));
-    if WIDTH >= count || WIDTH * routers < COVER * count {
+    // Routers that were told no rank of their own would all look at the same members.
+    let unknown = f64::from(rank) >= routers;
+    if unknown || WIDTH >= count || WIDTH * routers < COVER * count {
         return draw % members.max(1);
     }
     let begin = f64::from(rank) / routers * count;
--- a/crates/core/tests/subset.rs
+++ b/crates/core/tests/subset.rs
@@ -49,6 +49,11 @@
         }
         assert_eq!(used.len(), members, "{routers} routers, {members} members");
     }
+    // Nor does one that was told no rank, or one that can't be, have a window.
+    for rank in [linnetdeal_core::Settings::NO_RANK, 300] {
+        let used: BTreeSet<usize> = (0..1_000).map(|draw| first(draw, rank, 300, 7)).collect();
+        assert_eq!(used.len(), 7, "rank {rank}");
+    }
 }
 
 #[test]
--- a/crates/daemon/src/leases.rs
+++ b/crates/daemon/src/leases.rs
@@ -18,6 +18,9 @@
     /// Two tasks look alike in a datagram.
     #[error("leases.tasks: {0} and {1} can't be told apart in a datagram, rename one")]
     Alike(String, String),
+    /// The platform says not which of the poolers this one is.
+    #[error("leases: the configuration has no settings.Rank, and voters are named by it")]
+    Unnumbered,
     /// A pooler that does not exist.
     #[error("leases.voters: there is no pooler {0}, the platform names {1}")]
     Nobody(u16, usize),
@@ -43,7 +46,12 @@
 
 /// What this pooler is to take part with.
 pub fn wanted(settings: &LeaseSettings, config: &Config) -> Result<Wanted, LeaseError> {
-    let number = u16::try_from(config.settings.rank).unwrap_or(u16::MAX);
+    let number = match u16::try_from(config.settings.rank) {
+        Ok(number) => number,
+        Err(_) if config.peers.is_some() => return Err(LeaseError::Unnumbered),
+        // Nobody talks: leases stay off, with a warning.
+        Err(_) => 0,
+    };
     if let Some(peers) = &config.peers {
         let fleet = peers.each.len();
         let everybody = settings.voters.iter().chain(settings.previous.iter().flatten());
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -868,31 +868,55 @@
     std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
+/// A place whose processes share a listening socket, a folder and what they know of servers.
+struct Place {
+    folder: PathBuf,
+    door: std::net::TcpListener,
+    config: Value,
+}
+
+impl Place {
+    fn new(name: &str, discovery: &Discovery, known: Vec<Value>) -> Self {
+        let folder = std::env::temp_dir().join(format!("linnetdeal-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let door = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        Self { folder, door, config: serde_json::from_str(&config(discovery, known, 1_024)).unwrap() }
+    }
+
+    /// A process that may not serve yet, and its second address.
+    fn begin(&self) -> (Pooler, std::net::SocketAddr) {
+        let (mut config, desk) = (self.config.clone(), free_port());
+        config["operator"] = desk.to_string().into();
+        (Pooler::beside(&config.to_string(), &self.door, &self.folder), desk)
+    }
+
+    /// One that serves.
+    fn serve(&self) -> (Pooler, std::net::SocketAddr) {
+        let (pooler, desk) = self.begin();
+        let mut tries = 0..100_000;
+        assert!(tries.any(|_| call(desk, "GET /-/ready") == "200"), "it says yes in the end");
+        (pooler, desk)
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
 #[test]
 fn a_newer_process_takes_the_clients_and_the_bans_and_none_of_them_is_cut() {
     let (open, busy_server) = held("s-1");
     let (two, three) = (plain("s-2", "replica"), plain("s-3", "replica"));
     let discovery = Discovery::new();
-    let folder = std::env::temp_dir().join(format!("linnetdeal-overlap-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
-    let door = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let known = || vec![busy_server.entry("up", ""), two.entry("up", ""), three.entry("up", "")];
-    let begin = || {
-        let mut config: Value = serde_json::from_str(&config(&discovery, known(), 1_024)).unwrap();
-        let desk = free_port();
-        config["operator"] = desk.to_string().into();
-        (Pooler::beside(&config.to_string(), &door, &folder), desk)
-    };
-    let ready = |desk| {
-        let mut tries = 0..100_000;
-        assert!(tries.any(|_| call(desk, "GET /-/ready") == "200"), "it says yes in the end");
-    };
+    let known = vec![busy_server.entry("up", ""), two.entry("up", ""), three.entry("up", "")];
+    let place = Place::new("overlap", &discovery, known);
     let served = |client: &mut Client, by: &[&str]| {
         let value = String::from_utf8(client.ask(&menu("9")).value.unwrap()).unwrap();
         assert!(by.contains(&value.as_str()), "{value}");
     };
-    let (mut older, desk) = begin();
-    ready(desk);
+    let (mut older, desk) = place.serve();
     for id in ["s-2", "s-3"] {
         assert_eq!(call(desk, &format!("POST /-/servers/{id}/disable")), "200");
     }
@@ -904,8 +928,7 @@
     let (mut usual, mut idle) = (Client::connect(&older), Client::connect(&older));
 
     // What either is told by hand, both keep.
-    let (newer, next) = begin();
-    ready(next);
+    let (newer, next) = place.serve();
     assert_eq!(call(next, "POST /-/servers/s-2/enable"), "200");
     older.logged("server s-2 back by hand, as the other process was told");
     assert_eq!(call(desk, "POST /-/servers/s-1/disable"), "200");
@@ -942,36 +965,23 @@
     assert_eq!(call(next, "POST /-/servers/s-3/enable"), "200");
     let used = (0..5_000).any(|_| late.ask(&menu("7")).value.as_deref() == Some(b"s-3"));
     assert!(used, "it is used again");
-    std::fs::remove_dir_all(&folder).unwrap();
 }
 
 /// Two processes of one place; the older one has a client, and has been told to end.
-fn overlap(server: &Server, discovery: &Discovery, name: &str) -> (Pooler, Pooler, Client, PathBuf) {
-    let folder = std::env::temp_dir().join(format!("linnetdeal-{name}-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
-    let door = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let begin = || {
-        let known = vec![server.entry("up", "")];
-        let mut config: Value = serde_json::from_str(&config(discovery, known, 1_024)).unwrap();
-        let desk = free_port();
-        config["operator"] = desk.to_string().into();
-        let pooler = Pooler::beside(&config.to_string(), &door, &folder);
-        let mut tries = 0..100_000;
-        assert!(tries.any(|_| call(desk, "GET /-/ready") == "200"), "it says yes in the end");
-        pooler
-    };
-    let older = begin();
+fn overlap(place: &Place) -> (Pooler, Pooler, Client) {
+    let (older, _) = place.serve();
     let client = Client::connect(&older);
-    let newer = begin();
+    let (newer, _) = place.serve();
     older.signal("TERM");
     older.logged("for a newer process");
-    (older, newer, client, folder)
+    (older, newer, client)
 }
 
 #[test]
 fn who_was_told_to_end_takes_clients_again_when_the_newer_process_dies() {
     let (one, discovery) = (plain("s-1", "replica"), Discovery::new());
-    let (mut older, mut newer, mut kept, folder) = overlap(&one, &discovery, "newer-dies");
+    let place = Place::new("newer-dies", &discovery, vec![one.entry("up", "")]);
+    let (mut older, mut newer, mut kept) = overlap(&place);
     newer.signal("KILL");
     newer.child.wait().unwrap();
     older.logged("clients are taken again");
@@ -985,13 +995,13 @@
     }
     assert!(older.child.wait().unwrap().success(), "it ends all the same");
     assert!(older.logged("counters").contains(" taken=9 "));
-    std::fs::remove_dir_all(&folder).unwrap();
 }
 
 #[test]
 fn a_newer_process_that_hangs_is_not_taken_for_dead() {
     let (one, discovery) = (plain("s-1", "replica"), Discovery::new());
-    let (mut older, mut newer, mut kept, folder) = overlap(&one, &discovery, "newer-hangs");
+    let place = Place::new("newer-hangs", &discovery, vec![one.entry("up", "")]);
+    let (mut older, mut newer, mut kept) = overlap(&place);
     newer.signal("STOP");
     // Answered, and parted from: who connects now waits for the newer process.
     assert_eq!(kept.ask(&menu("1")).value.as_deref(), Some(&b"s-1"[..]));
@@ -1002,27 +1012,18 @@
     assert_eq!(Client::connect(&newer).ask(&menu("2")).value.as_deref(), Some(&b"s-1"[..]));
     newer.signal("TERM");
     assert!(newer.child.wait().unwrap().success());
-    std::fs::remove_dir_all(&folder).unwrap();
 }
 
 #[test]
 fn a_newer_process_that_dies_before_it_serves_leaves_the_older_one_as_it_was() {
     let (one, discovery) = (plain("s-1", "replica"), Discovery::new());
-    let folder = std::env::temp_dir().join(format!("linnetdeal-early-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
-    let door = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let config = config(&discovery, vec![one.entry("up", "")], 1_024);
-    let begin = || {
-        let mut config: Value = serde_json::from_str(&config).unwrap();
-        config["operator"] = free_port().to_string().into();
-        Pooler::beside(&config.to_string(), &door, &folder)
-    };
-    let mut older = begin();
+    let place = Place::new("early", &discovery, vec![one.entry("up", "")]);
+    let (mut older, _) = place.begin();
     let mut client = Client::connect(&older);
     let served = |client: &mut Client| assert_eq!(client.ask(&menu("1")).value.as_deref(), Some(&b"s-1"[..]));
     // Twice: what the first leaves behind hinders nobody.
     for _ in 0..2 {
-        let mut newer = begin();
+        let (mut newer, _) = place.begin();
         newer.signal("KILL");
         newer.child.wait().unwrap();
         served(&mut client);
@@ -1033,38 +1034,25 @@
     let mut late = Client::connect(&older);
     served(&mut late);
     assert!(older.child.wait().unwrap().success());
-    std::fs::remove_dir_all(&folder).unwrap();
 }
 
 #[test]
 fn two_newer_processes_in_a_row_and_a_new_configuration_between_lose_no_client() {
     let (one, two, discovery) = (plain("s-1", "replica"), plain("s-2", "replica"), Discovery::new());
-    let folder = std::env::temp_dir().join(format!("linnetdeal-row-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
-    let door = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let config = config(&discovery, vec![one.entry("up", ""), two.entry("up", "")], 1_024);
-    let begin = || {
-        let mut config: Value = serde_json::from_str(&config).unwrap();
-        let desk = free_port();
-        config["operator"] = desk.to_string().into();
-        let pooler = Pooler::beside(&config.to_string(), &door, &folder);
-        let mut tries = 0..100_000;
-        assert!(tries.any(|_| call(desk, "GET /-/ready") == "200"));
-        (pooler, desk)
-    };
+    let place = Place::new("row", &discovery, vec![one.entry("up", ""), two.entry("up", "")]);
     let served = |client: &mut Client| assert_eq!(client.ask(&menu("1")).value.as_deref(), Some(&b"s-2"[..]));
-    let (mut first, desk) = begin();
+    let (mut first, desk) = place.serve();
     assert_eq!(call(desk, "POST /-/servers/s-1/disable"), "200");
     let mut kept = Client::connect(&first);
     served(&mut kept);
-    let (mut second, _) = begin();
+    let (mut second, _) = place.serve();
     first.signal("TERM");
     first.logged("for a newer process");
     // Both read their configurations again, while they overlap.
     first.signal("HUP");
     second.signal("HUP");
     second.logged("configuration read again");
-    let (mut third, last) = begin();
+    let (mut third, last) = place.serve();
     second.signal("TERM");
     second.logged("for a newer process");
     served(&mut kept);
@@ -1080,27 +1068,14 @@
     assert!(used, "it is used again");
     third.signal("TERM");
     assert!(third.child.wait().unwrap().success());
-    std::fs::remove_dir_all(&folder).unwrap();
 }
 
 #[test]
 fn an_older_process_that_hangs_in_its_end_holds_up_nobody() {
     let (one, discovery) = (plain("s-1", "replica"), Discovery::new());
-    let folder = std::env::temp_dir().join(format!("linnetdeal-hang-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
-    let door = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let config = config(&discovery, vec![one.entry("up", "")], 1_024);
-    let begin = || {
-        let mut config: Value = serde_json::from_str(&config).unwrap();
-        let desk = free_port();
-        config["operator"] = desk.to_string().into();
-        let pooler = Pooler::beside(&config.to_string(), &door, &folder);
-        let mut tries = 0..100_000;
-        assert!(tries.any(|_| call(desk, "GET /-/ready") == "200"));
-        (pooler, desk)
-    };
-    let (mut older, _) = begin();
-    let (mut newer, desk) = begin();
+    let place = Place::new("hang", &discovery, vec![one.entry("up", "")]);
+    let (mut older, _) = place.serve();
+    let (mut newer, desk) = place.serve();
     older.signal("TERM");
     older.logged("for a newer process");
     older.signal("STOP");
@@ -1110,7 +1085,7 @@
     }
     // A ban in that time is learnt when it goes on, and the folder that both share may be gone by then.
     assert_eq!(call(desk, "POST /-/servers/s-1/disable"), "200");
-    std::fs::remove_dir_all(&folder).unwrap();
+    std::fs::remove_dir_all(&place.folder).unwrap();
     assert_eq!(call(desk, "POST /-/servers/s-1/enable"), "200", "it holds in this process all the same");
     older.signal("CONT");
     assert!(older.child.wait().unwrap().success());
--- a/crates/lab/src/leases/gate.rs
+++ b/crates/lab/src/leases/gate.rs
@@ -1,18 +1,15 @@
 //! The gated address: what a task's holder acts on. It lets a call through unless it has seen a later token.
 
 use crate::lock;
+use crate::processes::head::Head;
 use crate::processes::history::{Event, History};
 use std::collections::BTreeMap;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// A head that is longer is no call.
-const LONGEST: usize = 8 * 1024;
-const PATIENCE: Duration = Duration::from_secs(5);
-
 #[derive(Default)]
 struct Inside {
     /// The highest token of each task.
@@ -78,20 +75,8 @@
     history: &History,
     strict: bool,
 ) -> std::io::Result<()> {
-    stream.set_read_timeout(Some(PATIENCE))?;
-    let (mut head, mut bytes) = (Vec::new(), [0; 1_024]);
-    while !head.windows(4).any(|four| four == b"\r\n\r\n") {
-        match stream.read(&mut bytes)? {
-            0 => return Ok(()),
-            _ if head.len() > LONGEST => return Ok(()),
-            size => head.extend_from_slice(&bytes[..size]),
-        }
-    }
-    let text = String::from_utf8_lossy(&head).to_ascii_lowercase();
-    let field = |name: &str| {
-        let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "));
-        line.unwrap_or("").trim().to_owned()
-    };
+    let Some(head) = Head::read(&mut stream)? else { return Ok(()) };
+    let field = |name: &str| head.field(name);
     let (task, step, by) = (field("task"), field("step"), field("pooler"));
     let Ok(token) = field("fencing-token").parse::<u64>() else {
         return stream.write_all(b"HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\r\n");
--- a/crates/lab/src/leases/proof.rs
+++ b/crates/lab/src/leases/proof.rs
@@ -6,6 +6,7 @@
 use super::script::Script;
 use crate::at_once;
 use crate::processes::process;
+use crate::processes::records::{plays, quantile};
 use linnetdeal_coordination::lease::Sound;
 use serde_json::json;
 use std::fmt::Display;
@@ -33,13 +34,6 @@
     pub program: PathBuf,
 }
 
-/// The value below which this share of them lies.
-fn quantile(of: &mut [f64], share: f64) -> f64 {
-    of.sort_by(f64::total_cmp);
-    let at = (of.len() as f64 * share).ceil() as usize;
-    of.get(at.clamp(1, of.len().max(1)) - 1).copied().unwrap_or(0.0)
-}
-
 fn rounded(of: f64) -> f64 {
     (of * 100.0).round() / 100.0
 }
@@ -55,8 +49,7 @@
 ) -> Result<bool, Box<dyn std::error::Error + Send + Sync>> {
     let mut scripts = Script::folder(&wanted.folder)?;
     scripts.retain(|script| wanted.only.as_ref().is_none_or(|only| script.name.contains(only)));
-    let plays: Vec<(usize, u64)> =
-        (1..=wanted.times).flat_map(|seed| (0..scripts.len()).map(move |at| (at, seed))).collect();
+    let plays = plays(scripts.len(), wanted.times);
     let outcomes = at_once(&plays, wanted.side_by_side, |(at, seed)| {
         play(&scripts[*at], scripts[*at].seed * 1_000 + seed, &wanted.program)
     });
--- a/crates/lab/src/leases/script.rs
+++ b/crates/lab/src/leases/script.rs
@@ -1,5 +1,6 @@
 //! Scripts of leases as files, in the operator's typed records; each fault with its place.
 
+use crate::processes::records;
 use linnetdeal_operator::{Faults, unify};
 use serde::{Deserialize, Deserializer};
 use std::path::Path;
@@ -110,7 +111,7 @@
     /// `in`, `out` or `both`.
     pub way: String,
     /// For how long.
-    #[serde(deserialize_with = "duration")]
+    #[serde(deserialize_with = "records::duration")]
     pub lasts: Duration,
     /// Datagrams lost, in a thousand.
     pub lost: u32,
@@ -148,15 +149,15 @@
     /// Who voted.
     pub previous: Vec<Vec<usize>>,
     /// The task's term.
-    #[serde(deserialize_with = "duration")]
+    #[serde(deserialize_with = "records::duration")]
     pub term: Duration,
     /// The stated drift, in a thousand.
     pub drift: u16,
     /// How long an act lasts.
-    #[serde(deserialize_with = "duration")]
+    #[serde(deserialize_with = "records::duration")]
     pub lasts: Duration,
     /// How long it is to the next.
-    #[serde(deserialize_with = "duration")]
+    #[serde(deserialize_with = "records::duration")]
     pub every: Duration,
     /// How often the steps are done.
     pub rounds: usize,
@@ -168,13 +169,6 @@
     pub steps: Vec<Step>,
 }
 
-fn duration<'de, D: Deserializer<'de>>(from: D) -> Result<Duration, D::Error> {
-    let text = String::deserialize(from)?;
-    let unit = text.find(|letter: char| !letter.is_ascii_digit()).unwrap_or(text.len());
-    let number: u64 = text[..unit].parse().map_err(serde::de::Error::custom)?;
-    Ok(Duration::from_millis(if &text[unit..] == "s" { number * 1_000 } else { number }))
-}
-
 impl Script {
     /// Reads a script's text; `name` is its file's.
     ///
@@ -205,14 +199,7 @@
     /// # Errors
     ///
     /// When one can't be read, or something in it is wrong.
-    pub fn folder(folder: &Path) -> Result<Vec<Self>, Box<dyn std::error::Error + Send + Sync>> {
-        let mut files: Vec<_> = std::fs::read_dir(folder)?
-            .map(|entry| entry.map(|entry| entry.path()))
-            .collect::<Result<_, _>>()?;
-        files.retain(|path| path.extension().is_some_and(|ending| ending == "cue"));
-        files.sort();
-        let read =
-            |path: &std::path::PathBuf| Ok(Self::decode(&path.display().to_string(), &std::fs::read(path)?)?);
-        files.iter().map(read).collect()
+    pub fn folder(folder: &Path) -> Result<Vec<Self>, records::Failure> {
+        records::folder(folder, |name, bytes| Ok(Self::decode(name, bytes)?))
     }
 }
--- a/crates/lab/src/work/proof.rs
+++ b/crates/lab/src/work/proof.rs
@@ -5,6 +5,7 @@
 use super::script::Script;
 use crate::at_once;
 use crate::processes::process;
+use crate::processes::records::{plays, quantile};
 use linnetdeal_coordination::work::Scheme;
 use serde_json::json;
 use std::collections::BTreeMap;
@@ -28,13 +29,6 @@
 /// Machines count as cold for so long in all scripts, in seconds.
 const COLD_S: f64 = 0.4;
 
-/// The value below which this share of them lies.
-fn quantile(of: &mut [f64], share: f64) -> f64 {
-    of.sort_by(f64::total_cmp);
-    let at = (of.len() as f64 * share).ceil() as usize;
-    of.get(at.clamp(1, of.len().max(1)) - 1).copied().unwrap_or(0.0)
-}
-
 fn rounded(of: f64) -> f64 {
     (of * 1_000.0).round() / 1_000.0
 }
@@ -50,8 +44,7 @@
 ) -> Result<bool, Box<dyn std::error::Error + Send + Sync>> {
     let mut scripts = Script::folder(&wanted.folder)?;
     scripts.retain(|script| wanted.only.as_ref().is_none_or(|only| script.name.contains(only)));
-    let plays: Vec<(usize, u64)> =
-        (1..=wanted.times).flat_map(|seed| (0..scripts.len()).map(move |at| (at, seed))).collect();
+    let plays = plays(scripts.len(), wanted.times);
     let outcomes = at_once(&plays, wanted.side_by_side, |(at, seed)| {
         play(&scripts[*at], scripts[*at].seed * 1_000 + seed, &wanted.program)
     });
--- a/crates/lab/src/work/script.cue
+++ b/crates/lab/src/work/script.cue
@@ -20,8 +20,6 @@
 	lasts:  #Duration | *"0ms"
 	// 'die-after': so many letters; 'load': in percent; 'until': so many machines; 'noise': lost, in parts of a thousand.
 	count:  int & >=0 & <=10000 | *1
-	// 'plan': not waited for.
-	aside:  bool | *false
 }
 
 name!:   string
--- a/crates/lab/src/work/script.rs
+++ b/crates/lab/src/work/script.rs
@@ -1,7 +1,8 @@
 //! Scripts of machines out for work as files, in the operator's typed records; each fault with its place.
 
+use crate::processes::records;
 use linnetdeal_operator::{Faults, unify};
-use serde::{Deserialize, Deserializer};
+use serde::Deserialize;
 use std::path::Path;
 use std::time::Duration;
 
@@ -78,12 +79,10 @@
     /// The status that is to be answered; 0 for any.
     pub status: u16,
     /// For how long.
-    #[serde(deserialize_with = "duration")]
+    #[serde(deserialize_with = "records::duration")]
     pub lasts: Duration,
     /// How many.
     pub count: usize,
-    /// Not waited for.
-    pub aside: bool,
 }
 
 /// A script.
@@ -106,12 +105,12 @@
     /// Clients of each pooler.
     pub clients: usize,
     /// The pause of each.
-    #[serde(deserialize_with = "duration")]
+    #[serde(deserialize_with = "records::duration")]
     pub pause: Duration,
     /// What stands in the operator's file.
     pub work: String,
     /// How long work lasts.
-    #[serde(deserialize_with = "duration")]
+    #[serde(deserialize_with = "records::duration")]
     pub lasts: Duration,
     /// What the list says of it.
     pub listed: String,
@@ -139,13 +138,6 @@
     pub steps: Vec<Step>,
 }
 
-fn duration<'de, D: Deserializer<'de>>(from: D) -> Result<Duration, D::Error> {
-    let text = String::deserialize(from)?;
-    let unit = text.find(|letter: char| !letter.is_ascii_digit()).unwrap_or(text.len());
-    let number: u64 = text[..unit].parse().map_err(serde::de::Error::custom)?;
-    Ok(Duration::from_millis(if &text[unit..] == "s" { number * 1_000 } else { number }))
-}
-
 impl Script {
     /// Reads a script's text; `name` is its file's.
     ///
@@ -162,14 +154,7 @@
     /// # Errors
     ///
     /// When one can't be read, or something in it is wrong.
-    pub fn folder(folder: &Path) -> Result<Vec<Self>, Box<dyn std::error::Error + Send + Sync>> {
-        let mut files: Vec<_> = std::fs::read_dir(folder)?
-            .map(|entry| entry.map(|entry| entry.path()))
-            .collect::<Result<_, _>>()?;
-        files.retain(|path| path.extension().is_some_and(|ending| ending == "cue"));
-        files.sort();
-        let read =
-            |path: &std::path::PathBuf| Ok(Self::decode(&path.display().to_string(), &std::fs::read(path)?)?);
-        files.iter().map(read).collect()
+    pub fn folder(folder: &Path) -> Result<Vec<Self>, records::Failure> {
+        records::folder(folder, |name, bytes| Ok(Self::decode(name, bytes)?))
     }
 }
--- a/crates/lab/src/work/site.rs
+++ b/crates/lab/src/work/site.rs
@@ -3,17 +3,14 @@
 use crate::boxes::{Log, StandIn};
 use crate::ledger::Ledger;
 use crate::lock;
+use crate::processes::head::Head;
 use serde_json::{Value, json};
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// A head that is longer is no call.
-const LONGEST: usize = 8 * 1024;
-const PATIENCE: Duration = Duration::from_secs(5);
-
 /// A server.
 #[derive(Clone)]
 pub struct Server {
@@ -64,20 +61,6 @@
     u64::try_from(now.as_millis()).unwrap_or(0)
 }
 
-/// Reads a call's head.
-fn head(stream: &mut TcpStream) -> std::io::Result<String> {
-    stream.set_read_timeout(Some(PATIENCE))?;
-    let (mut head, mut bytes) = (Vec::new(), [0; 1_024]);
-    while !head.windows(4).any(|four| four == b"\r\n\r\n") {
-        match stream.read(&mut bytes)? {
-            0 => break,
-            _ if head.len() > LONGEST => break,
-            size => head.extend_from_slice(&bytes[..size]),
-        }
-    }
-    Ok(String::from_utf8_lossy(&head).into_owned())
-}
-
 impl Site {
     /// So many groups of so many servers each, in zones in turn, for so many poolers. Answers take `work`.
     ///
@@ -125,8 +108,7 @@
                         return;
                     }
                     let Ok(mut stream) = stream else { continue };
-                    let head = head(&mut stream).unwrap_or_default();
-                    if head.is_empty() {
+                    if !matches!(Head::read(&mut stream), Ok(Some(_))) {
                         continue;
                     }
                     let mut inside = lock(&inside);
@@ -224,11 +206,8 @@
 }
 
 fn hand_over(mut stream: TcpStream, inside: &Mutex<Inside>, servers: &[Server]) -> std::io::Result<()> {
-    let head = head(&mut stream)?.to_ascii_lowercase();
-    let field = |name: &str| {
-        let line = head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "));
-        line.unwrap_or("").trim().to_owned()
-    };
+    let Some(head) = Head::read(&mut stream)? else { return Ok(()) };
+    let field = |name: &str| head.field(name);
     let mut inside = lock(inside);
     let status = match field("fencing-token").parse::<u64>() {
         Err(_) => "400 Bad Request",
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -40,12 +40,23 @@
 
 /// The right to one connection.
 #[derive(Debug)]
-pub(crate) struct Permit(pub(crate) Rc<Budget>, #[allow(dead_code)] pub(crate) Presence);
+pub(crate) struct Permit {
+    budget: Rc<Budget>,
+    _presence: Presence,
+}
+
+impl Permit {
+    /// Takes one of the budget, for a connection to where `presence` is.
+    pub(crate) fn take(budget: &Rc<Budget>, presence: Presence) -> Self {
+        budget.used.set(budget.used.get() + 1);
+        Self { budget: budget.clone(), _presence: presence }
+    }
+}
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.0.used.set(self.0.used.get() - 1);
-        self.0.freed.notify(1);
+        self.budget.used.set(self.budget.used.get() - 1);
+        self.budget.freed.notify(1);
     }
 }
 
--- a/crates/net/src/leases.rs
+++ b/crates/net/src/leases.rs
@@ -542,8 +542,5 @@
 pub fn life(seed: u64) -> u64 {
     let text =
         format!("{seed}/{}/{}/{:?}", std::process::id(), clock::steady().0, std::time::SystemTime::now());
-    // FNV-1a, 64 bits.
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-    })
+    linnetdeal_core::membership::fnv(text.bytes())
 }
--- a/crates/net/src/succession.rs
+++ b/crates/net/src/succession.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeSet;
 use std::fs::File;
 use std::io;
+use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
@@ -39,7 +40,6 @@
     bans: RefCell<Bans>,
     seen: Cell<Option<SystemTime>>,
     seen_work: Cell<Option<SystemTime>>,
-    own_work: RefCell<Option<PathBuf>>,
     /// The own lock, while this lives.
     alive: RefCell<Option<File>>,
 }
@@ -55,15 +55,7 @@
         let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         let own = format!("{}-{}", std::process::id(), now.as_nanos());
         let (bans, seen, alive) = (RefCell::default(), Cell::new(None), RefCell::default());
-        Ok(Self {
-            folder: folder.to_owned(),
-            own,
-            bans,
-            seen,
-            seen_work: Cell::new(None),
-            own_work: RefCell::default(),
-            alive,
-        })
+        Ok(Self { folder: folder.to_owned(), own, bans, seen, seen_work: Cell::new(None), alive })
     }
 
     /// Says that this process is the newest.
@@ -79,10 +71,17 @@
                 let _ = std::fs::remove_file(entry.path());
             }
         }
-        // Others only look whether they can have it.
-        let own = File::options().create(true).append(true).open(self.alive_file(&self.own))?;
-        flock(&own, FlockOperation::LockExclusive)?;
-        *self.alive.borrow_mut() = Some(own);
+        // Others only look whether they can have it; one that starts at the same moment may have taken it for left behind.
+        let path = self.alive_file(&self.own);
+        *self.alive.borrow_mut() = loop {
+            let own = File::options().create(true).append(true).open(&path)?;
+            flock(&own, FlockOperation::LockExclusive)?;
+            if std::fs::metadata(&path)
+                .is_ok_and(|there| own.metadata().is_ok_and(|held| there.ino() == held.ino()))
+            {
+                break Some(own);
+            }
+        };
         let beside = self.folder.join(format!("{NEWEST}.{}", self.own));
         std::fs::write(&beside, &self.own)?;
         std::fs::rename(&beside, self.folder.join(NEWEST))
@@ -141,12 +140,20 @@
     pub fn put_work(&self, age: (u64, u32), bytes: &[u8]) -> io::Result<()> {
         let path = self.folder.join(format!("{WORK}.{:016x}.{:08x}", age.0, age.1));
         std::fs::write(&path, bytes)?;
-        if let Some(before) = self.own_work.replace(Some(path.clone())).filter(|before| *before != path) {
-            let _ = std::fs::remove_file(before);
+        // What is older says nothing more, whichever process wrote it.
+        for older in self.work_files()?.filter(|file| *file < path) {
+            let _ = std::fs::remove_file(older);
         }
         Ok(())
     }
 
+    fn work_files(&self) -> io::Result<impl Iterator<Item = PathBuf>> {
+        let files = std::fs::read_dir(&self.folder)?.flatten().map(|file| file.path());
+        Ok(files.filter(|path| {
+            path.file_name().and_then(|name| name.to_str()).is_some_and(|name| name.starts_with(WORK))
+        }))
+    }
+
     /// The newest that some process of this pooler has written down of that, if it has changed since this was asked. What is
     /// half written is not to be read yet, by whoever reads it.
     #[must_use]
@@ -156,11 +163,7 @@
             return None;
         }
         self.seen_work.set(Some(modified));
-        let files = std::fs::read_dir(&self.folder).ok()?.flatten().take(MOST_FILES);
-        let newest = files.map(|file| file.path()).filter(|path| {
-            path.file_name().and_then(|name| name.to_str()).is_some_and(|name| name.starts_with(WORK))
-        });
-        std::fs::read(newest.max()?).ok()
+        std::fs::read(self.work_files().ok()?.max()?).ok()
     }
 
     /// Writes down that a server is out by hand, or takes that away.
--- a/crates/net/src/upstream.rs
+++ b/crates/net/src/upstream.rs
@@ -155,7 +155,7 @@
 pub(crate) struct Meter {
     /// Attempts so far.
     pub(crate) sent: HashMap<GroupId, u64>,
-    /// Attempts in a row that found nobody; at most as many as there are members.
+    /// Attempts in a row that found nobody, of members that are known.
     pub(crate) failed: HashMap<MemberId, u32>,
 }
 
@@ -236,6 +236,8 @@
             self.let_go();
             self.trust.borrow_mut().forget(self.now());
             self.present.borrow_mut().retain(|_, count| Rc::strong_count(count) > 1);
+            // Who is forgotten is not held here either.
+            self.measured(|meter| meter.failed.retain(|member, _| self.members.group(member).is_some()));
         }
     }
 
@@ -303,8 +305,7 @@
             })
             .await;
         }
-        self.budget.used.set(self.budget.used.get() + 1);
-        Permit(self.budget.clone(), self.present(member))
+        Permit::take(&self.budget, self.present(member))
     }
 
     /// A connection for one request, and how it was come by: `None` if it is a new one.
--- a/crates/net/src/work.rs
+++ b/crates/net/src/work.rs
@@ -40,6 +40,8 @@
 const LOOK: Duration = Duration::from_millis(10);
 /// How often it is looked, at most; other processes of this pooler learn within twice of this.
 const TURN: Duration = Duration::from_millis(50);
+/// Between two looks there is at least so much time.
+const GAP: Duration = Duration::from_millis(5);
 /// A hand-over is asked for again so often until it is made.
 const ASK_AGAIN: Duration = Duration::from_millis(500);
 /// The load is counted by the minute, for an hour.
@@ -266,6 +268,8 @@
                 let _ = Timer::after(pause).await;
             })
             .await;
+            // Words of a whole fleet come one by one; they are looked at together.
+            Timer::after(GAP.min(pause)).await;
         }
     }
 
@@ -410,8 +414,10 @@
             clear_of: work.age(),
             ..Own::default()
         };
+        // Counted at all times: a plan that begins has to know the last hour's peak.
+        self.measure(now);
         if work.is_under_way() {
-            own.loads = self.measure(now);
+            own.loads = self.measured();
             own.failing = self.failing();
         }
         let Some((plan, record)) = work.acts_on() else { return own };
@@ -448,8 +454,11 @@
         self.parts.pool.measured(failing).unwrap_or_default()
     }
 
-    /// What this pooler bears, by group.
-    fn measure(&self, now: Time) -> Vec<Load> {
+    /// Counts what this pooler bears, when it is due.
+    fn measure(&self, now: Time) {
+        if now - self.loads.borrow().at < Span(self.wanted.setup.every.0 * NOW) {
+            return;
+        }
         let sent: BTreeMap<GroupId, u64> = self
             .parts
             .pool
@@ -457,27 +466,30 @@
             .unwrap_or_default();
         let mut loads = self.loads.borrow_mut();
         let loads = &mut *loads;
-        if now - loads.at >= Span(self.wanted.setup.every.0 * NOW) {
-            let seconds = (now - loads.at).0 as f64 / 1e6;
-            let minute = now - loads.minute >= MINUTE;
-            for (group, count) in &sent {
-                let seen = loads.seen.entry(*group).or_insert((*count, *count));
-                let (rate, hour) = loads.rates.entry(*group).or_default();
-                *rate = (count - seen.0) as f64 / seconds;
-                seen.0 = *count;
-                if minute {
-                    hour.push_back((count - seen.1) as f64 / (now - loads.minute).0 as f64 * 1e6);
-                    seen.1 = *count;
-                    if hour.len() > HOUR {
-                        hour.pop_front();
-                    }
-                }
-            }
-            loads.at = now;
+        let seconds = (now - loads.at).0 as f64 / 1e6;
+        let minute = now - loads.minute >= MINUTE;
+        for (group, count) in &sent {
+            let seen = loads.seen.entry(*group).or_insert((*count, *count));
+            let (rate, hour) = loads.rates.entry(*group).or_default();
+            *rate = (count - seen.0) as f64 / seconds;
+            seen.0 = *count;
             if minute {
-                loads.minute = now;
+                hour.push_back((count - seen.1) as f64 / (now - loads.minute).0 as f64 * 1e6);
+                seen.1 = *count;
+                if hour.len() > HOUR {
+                    hour.pop_front();
+                }
             }
         }
+        loads.at = now;
+        if minute {
+            loads.minute = now;
+        }
+    }
+
+    /// What this pooler bears, by group.
+    fn measured(&self) -> Vec<Load> {
+        let loads = self.loads.borrow();
         let whole = |rate: f64| rate.ceil().clamp(0.0, 65_535.0) as u16;
         let of = |(group, (rate, hour)): (&GroupId, &(f64, VecDeque<f64>))| {
             let peak = hour.iter().copied().fold(*rate, f64::max);
--- a/crates/net/tests/parsers.rs
+++ b/crates/net/tests/parsers.rs
@@ -125,6 +125,38 @@
     assert!(older.look().is_err() && older.put(&ids[0], true).is_err() && !older.place_taken());
 }
 
+#[test]
+fn processes_of_one_place_see_each_other_live_and_keep_no_more_than_the_newest_record() {
+    use linnetdeal_net::succession::Shared;
+    let folder = std::env::temp_dir().join(format!("linnetdeal-alive-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let older = Shared::open(&folder).unwrap();
+    assert!(!older.is_alone(), "nothing is said to be clear without an own lock");
+    older.claim().unwrap();
+    assert!(older.is_alone() && !older.lives_beside());
+    older.put_work((7, 1), b"one").unwrap();
+    let newer = Shared::open(&folder).unwrap();
+    newer.claim().unwrap();
+    assert!(!older.is_alone() && newer.lives_beside() && older.place_taken() && !older.newer_died());
+    assert_eq!(newer.look_work().as_deref(), Some(&b"one"[..]));
+    newer.put_work((7, 2), b"two").unwrap();
+    older.put_work((6, 9), b"old").unwrap();
+    assert_eq!(older.look_work().as_deref(), Some(&b"two"[..]), "the newest counts, whoever wrote last");
+    // Whoever ends, however it ends, leaves the place; and what many have left behind goes.
+    drop(newer);
+    assert!(older.newer_died() && older.is_alone() && !older.place_taken());
+    for start in 0..20 {
+        let next = Shared::open(&folder).unwrap();
+        next.claim().unwrap();
+        next.put_work((8, start), b"next").unwrap();
+    }
+    let files = std::fs::read_dir(&folder).unwrap().flatten();
+    let names: Vec<String> = files.map(|file| file.file_name().to_string_lossy().into_owned()).collect();
+    let count = |part: &str| names.iter().filter(|name| name.starts_with(part)).count();
+    assert!(count("linnetdeal.work") == 1 && count("linnetdeal.alive") <= 2, "{names:?}");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
 #[test]
 fn a_listener_that_was_handed_down_takes_clients() {
     use std::os::fd::AsRawFd;
--- a/crates/operator/src/typed.rs
+++ b/crates/operator/src/typed.rs
@@ -298,8 +298,7 @@
     let mut check = Checker { tree, faults: Vec::new() };
     let registry = raw.registry.map(|raw| registry(raw, &mut check));
     let leases = raw.leases.map(|raw| leases::decode(raw, &mut check));
-    let longest = leases.as_ref().map(|of| of.longest);
-    let work = raw.work.map(|raw| work::decode(raw, longest, &mut check));
+    let work = raw.work.map(|raw| work::decode(raw, leases.as_ref(), &mut check));
     let primary = PrimarySettings {
         planned: raw.primary.planned.map(|raw| change("primary.planned", &raw, &mut check)),
         unplanned: raw.primary.unplanned.map(|raw| change("primary.unplanned", &raw, &mut check)),
--- a/crates/operator/src/typed/work.rs
+++ b/crates/operator/src/typed/work.rs
@@ -1,7 +1,8 @@
 //! Machines out for work, as an operator bounds it.
 
-use super::Checker;
+use super::{Checker, LeaseSettings};
 use serde::Deserialize;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -105,7 +106,12 @@
     }
 }
 
-pub(super) fn decode(raw: RawWork, leases: Option<Duration>, check: &mut Checker<'_>) -> WorkSettings {
+/// As many voters as a datagram names, those of earlier sets among them; `linnetdeal-coordination` has the same bound.
+const MOST_VOTERS: usize = 14;
+/// The lease that work rests on.
+const TASK: &str = "work";
+
+pub(super) fn decode(raw: RawWork, leases: Option<&LeaseSettings>, check: &mut Checker<'_>) -> WorkSettings {
     let mut span = |name: &str, text: &str, least: Duration, most: Duration| {
         check.duration(&format!("work.{name}"), text, (least, most))
     };
@@ -115,13 +121,32 @@
     let cold = span("cold", &raw.cold, MS, DAY);
     let handing = span("handing", &raw.handing, MS, DAY);
     let longest = span("longest", &raw.longest, MS, 30 * DAY);
-    match leases {
-        None => check.fault("work", "it rests on 'leases', which are not there"),
-        Some(longest) if term > longest => {
-            check.fault("work.term", format!("{} is longer than 'leases.longest'", raw.term));
-        }
-        Some(_) => {}
+    let Some(leases) = leases else {
+        check.fault("work", "it rests on 'leases', which are not there");
+        return settle(raw, [every, term, hold, cold, handing, longest], check);
+    };
+    if term > leases.longest {
+        check.fault("work.term", format!("{} is longer than 'leases.longest'", raw.term));
+    }
+    let voters: BTreeSet<u16> =
+        leases.voters.iter().chain(leases.previous.iter().flatten()).copied().collect();
+    if voters.len() > MOST_VOTERS {
+        check.fault(
+            "leases.previous",
+            format!("{} voters in all, and work can have {MOST_VOTERS}", voters.len()),
+        );
     }
+    if let Some(at) = leases.tasks.iter().position(|task| task.name == TASK) {
+        check.fault(
+            &format!("leases.tasks[{at}].name"),
+            "this name is that of the lease that 'work' rests on",
+        );
+    }
+    settle(raw, [every, term, hold, cold, handing, longest], check)
+}
+
+fn settle(raw: RawWork, spans: [Duration; 6], check: &mut Checker<'_>) -> WorkSettings {
+    let [every, term, hold, cold, handing, longest] = spans;
     let mut quiet = Vec::new();
     for (at, one) in raw.quiet.iter().enumerate() {
         let minute = |text: &str| {
--- a/crates/operator/tests/files.rs
+++ b/crates/operator/tests/files.rs
@@ -161,3 +161,28 @@
         assert!(told.contains(words) || words == "leases" && told.contains("f:8:"), "{bad}: {told}");
     }
 }
+
+#[test]
+fn work_is_read_with_its_defaults_or_refused_with_its_places() {
+    let with = |text: &str| format!("{LEASES}work: {{{text}}}\n");
+    let work = decode(&with("quiet: [{from: \"22:00\", to: \"05:30\"}]")).unwrap().work.unwrap();
+    assert_eq!((work.servers.all, work.group, work.warm, work.order.as_str()), (1, 1, 1, "ahead"));
+    assert_eq!(work.quiet, [(1_320, 330)]);
+    assert!(decode("package linnetdeal\nwork: {}\n").unwrap_err().contains("rests on 'leases'"));
+    for (text, words) in [
+        ("term: \"11s\"", "longer than 'leases.longest'"),
+        ("quiet: [{from: \"22:00\", to: \"22:00\"}]", "it begins when it ends"),
+        ("quiet: [{from: \"24:00\", to: \"22:00\"}]", "quiet"),
+        ("servers: {all: 0}", "all"),
+        ("handover: {address: \"127.0.0.1:99999\"}", "invalid socket address"),
+        ("unknown: 1", "unknown"),
+    ] {
+        let told = decode(&with(text)).unwrap_err();
+        assert!(told.contains(words), "{text}: {told}");
+    }
+    let named = with("").replace("name: \"sweep\"", "name: \"work\"");
+    assert!(decode(&named).unwrap_err().contains("the lease that 'work' rests on"));
+    let sets = "previous: [[0, 1, 2], [10, 11, 12, 13, 14, 15, 16], [20, 21, 22, 23, 24, 25, 26]]";
+    let many = with("").replace("previous: [[0, 1, 2]]", sets);
+    assert!(decode(&many).unwrap_err().contains("18 voters in all"));
+}
