Watch: opened anew within a part of the drains' grace, not by the fleet's size

All 279 watches fell silent at the start and were given up in time, at 3.25 s; 59 poolers had none open at 7.61 s.

Fault: core/backoff.rs, pause(Ended::Served): up to 20 ms for each pooler of the fleet, 5.6 s with 279. It was for discovery that a whole fleet overbooks; but what the agent has binds whether a watch is open or not.

Now what no refusal asked for passes within a quarter of Rules.DrainGrace; refusals back off by the fleet as before. The same for calls that nobody answers, which went up to 1 s.

Beside it, found in reading discovery.rs: a list over several lines ended the watch, again and again (net/objects.rs cuts the stream into objects); ends of lines inside an object counted as signs of life; an older list, after a watch was taken up by what knows less, brought servers back that had been told to drain.

--- a/crates/core/src/backoff.rs
+++ b/crates/core/src/backoff.rs
@@ -5,6 +5,10 @@
 //! time it came to them, answered 503 to all of them for as long as the day lasted. So the pauses are jittered, and as
 //! long as the fleet is large: all poolers together ask so many times a second and no more, and half as often each
 //! time that the service says that it is overbooked.
+//!
+//! But what an agent beside the pooler has counts as told whether or not a watch is open. With 300 poolers a watch that was
+//! reset stayed shut for up to 6 s, and requests went to servers that drained meanwhile. So nothing but a refusal makes the
+//! pause longer than a part of the grace that drains have: the first call after an end comes within it.
 
 use crate::interface::Span;
 use rand_chacha::ChaCha8Rng;
@@ -17,8 +21,12 @@
 /// No pause after a refusal is longer than so many times what all poolers add up to, nor than a second in a small fleet:
 /// what the list has to tell binds 6 s later, heard or not.
 const MOST_TIMES: f64 = 8.0;
-/// Where only the own way to the service fails, it costs the service nothing to try: no pause is longer than this.
-const LONGEST_ALONE: Span = Span::millis(1_000);
+const LEAST_MOST: Span = Span::millis(1_000);
+/// The part of the grace of drains that passes before a call that nobody refused: the rest is for the answer, and for what
+/// is being opened by then.
+const GRACE_PART: f64 = 0.25;
+/// Without a grace it still must not spin.
+const LEAST_SOON: Span = Span::millis(20);
 const MOST_DOUBLINGS: u32 = 10;
 /// A watch without news that lasted for so long has served.
 const LASTED: Span = Span::millis(1_000);
@@ -52,37 +60,34 @@
 pub struct Backoff {
     rng: ChaCha8Rng,
     fleet: u32,
+    /// The longest pause that no refusal asked for.
+    soon: Span,
     refused: u32,
-    unreached: u32,
 }
 
 impl Backoff {
-    /// Pauses among so many poolers, by chance from this seed.
+    /// Pauses among so many poolers, by chance from this seed, where drains have this grace.
     #[must_use]
-    pub fn new(seed: u64, fleet: u32) -> Self {
-        Self { rng: ChaCha8Rng::seed_from_u64(seed), fleet: fleet.max(1), refused: 0, unreached: 0 }
+    pub fn new(seed: u64, fleet: u32, drain_grace: Span) -> Self {
+        let soon = drain_grace.times(GRACE_PART).max(LEAST_SOON);
+        Self { rng: ChaCha8Rng::seed_from_u64(seed), fleet: fleet.max(1), soon, refused: 0 }
     }
 
     /// How long to wait before it is asked again.
     pub fn pause(&mut self, ended: Ended) -> Span {
-        let all = EACH.times(f64::from(self.fleet)).max(LEAST);
         match ended {
             Ended::Served => {
-                (self.refused, self.unreached) = (0, 0);
-                // Any time up to that at which all may have asked.
-                all.times(self.chance())
+                self.refused = 0;
+                self.soon.times(self.chance())
             }
+            // It costs the service nothing that the own way to it fails.
+            Ended::Unreached => self.soon.times(0.5 + 0.5 * self.chance()),
             Ended::Refused => {
-                self.unreached = 0;
+                let all = EACH.times(f64::from(self.fleet)).max(LEAST);
                 self.refused = (self.refused + 1).min(MOST_DOUBLINGS);
-                let most = all.times(MOST_TIMES).max(LONGEST_ALONE);
+                let most = all.times(MOST_TIMES).max(LEAST_MOST);
                 all.times(f64::from(1 << self.refused)).min(most).times(0.5 + 0.5 * self.chance())
             }
-            Ended::Unreached => {
-                self.unreached = (self.unreached + 1).min(MOST_DOUBLINGS);
-                let pause = LEAST.times(f64::from(1 << (self.unreached - 1))).min(LONGEST_ALONE);
-                pause.times(0.5 + 0.5 * self.chance())
-            }
         }
     }
 
--- a/crates/net/src/discovery.rs
+++ b/crates/net/src/discovery.rs
@@ -2,6 +2,7 @@
 
 use super::buffer::{ReadBuffer, write_all};
 use super::http::{self, HttpError};
+use super::objects::{Objects, TextError, Whole};
 use crate::config::{ServerList, duration, span_of};
 use crate::counters::Counters;
 use crate::flag::Flag;
@@ -16,11 +17,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Empty lines come every 2 s. A watch that misses one is given up and opened anew, since what it would have
-/// told binds 6 s later, arrived or not.
+/// As the protocol has it, an empty line comes every 2 s, and what a silent watch misses binds 6 s after it fell silent.
+/// A watch is given up that brings nothing whole for the time of 1.6 lines: one may be late, and close to half of the 6 s is
+/// left to open it anew.
 const SILENCE: Duration = Duration::from_millis(3_200);
-/// A line longer than this is no list.
-const LONGEST_LINE: usize = 8 * 1024 * 1024;
 
 /// Where discovery is followed; it may move while the pooler runs.
 #[derive(Debug)]
@@ -50,10 +50,10 @@
     Io(#[from] io::Error),
     #[error("{0}")]
     Http(#[from] HttpError),
-    #[error("a line that is no list: {0}")]
+    #[error("not a list: {0}")]
     Json(#[from] serde_json::Error),
-    #[error("a line without an end")]
-    Line,
+    #[error("{0}")]
+    Text(#[from] TextError),
 }
 
 /// What follows the platform's list.
@@ -61,8 +61,11 @@
     source: Rc<Source>,
     feed: Feed,
     counters: Rc<Counters>,
-    /// The number of the last message: what comes later is newer.
+    /// The number of the last message: what comes later is newer, unless its version says otherwise.
     messages: Cell<i64>,
+    /// The version of the newest list, and whether that of the next may be held against it.
+    newest: Cell<u64>,
+    related: Cell<bool>,
     heard: Rc<Flag>,
 }
 
@@ -70,7 +73,15 @@
     /// One that follows `source` and tells `feed`.
     #[must_use]
     pub fn new(source: Rc<Source>, feed: Feed, counters: Rc<Counters>) -> Self {
-        Self { source, feed, counters, messages: Cell::new(0), heard: Rc::default() }
+        Self {
+            source,
+            feed,
+            counters,
+            messages: Cell::new(0),
+            newest: Cell::new(0),
+            related: Cell::new(true),
+            heard: Rc::default(),
+        }
     }
 
     /// Raised once discovery has said anything, be it that there is nothing new.
@@ -79,19 +90,27 @@
         self.heard.clone()
     }
 
-    /// Takes a list in; `whole` overrides what it says of itself.
-    pub fn take(&self, list: &ServerList, whole: bool) {
+    /// Takes a list in; `whole` overrides what it says of itself. One that is older than what is held brings nobody back
+    /// who drains or is gone: that was told since. If it is a whole one, its source counts anew from there.
+    pub fn take(&self, mut list: ServerList, whole: bool) {
         let number = self.messages.get() + 1;
         self.messages.set(number);
+        let older = self.related.replace(true) && list.generation < self.newest.get();
+        if older {
+            list.instances.retain(|server| self.feed.brings_back(&server.claim(number)) != Some(false));
+        }
+        if whole || list.reset || !older {
+            self.newest.set(list.generation);
+        }
         self.feed.tell(PLATFORM, list.news(number, whole));
     }
 }
 
 /// Follows discovery for ever, from the version that is known, with the pauses of `backoff`.
-pub async fn run(node: Follower, mut generation: u64, mut backoff: Backoff) {
+pub async fn run(node: Follower, mut backoff: Backoff) {
     let mut told = false;
     loop {
-        let (before, opened) = (generation, Instant::now());
+        let (before, opened) = (node.newest.get(), Instant::now());
         let (moved, followed) = (node.source.moved.listen(), node.source.address.get());
         let Some(address) = followed else {
             moved.await;
@@ -104,9 +123,9 @@
             Ok(())
         };
         let answered = Cell::new(false);
-        let ended = or(watch(&node, address, &mut generation, &answered), left).await;
+        let ended = or(watch(&node, address, before, &answered), left).await;
         let refused = matches!(ended, Err(WatchError::Http(HttpError::Status(_))));
-        let why = Ended::of(refused, answered.get(), generation != before, span_of(opened.elapsed()));
+        let why = Ended::of(refused, answered.get(), node.newest.get() != before, span_of(opened.elapsed()));
         match ended {
             // A dropped watch is nothing to report; an answer that makes no sense is, once.
             Err(WatchError::Io(_)) | Ok(()) => {}
@@ -117,9 +136,12 @@
             Err(_) => {}
         }
         if node.source.address.get() != followed {
+            // Another source: how its versions stand to those of the one before is not known.
+            node.related.set(false);
             continue;
         }
         let pause = duration(backoff.pause(why));
+        tracing::debug!(target: "watch", "watch ended after {:?}, {why:?}; again in {pause:?}", opened.elapsed());
         let moved = node.source.moved.listen();
         if node.source.address.get() == followed {
             or(moved, async {
@@ -130,10 +152,10 @@
     }
 }
 
-/// What `work` gives, unless it takes longer than the bound on silence.
-async fn bounded<T>(work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+/// What `work` gives, unless nothing whole has come by then.
+async fn by<T>(end: Instant, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
     let silence = async {
-        Timer::after(SILENCE).await;
+        let _ = Timer::at(end).await;
         Err(io::ErrorKind::TimedOut.into())
     };
     or(work, silence).await
@@ -143,27 +165,29 @@
 async fn watch(
     node: &Follower,
     address: SocketAddr,
-    generation: &mut u64,
+    since: u64,
     answered: &Cell<bool>,
 ) -> Result<(), WatchError> {
-    let stream = bounded(Async::<TcpStream>::connect(address)).await?;
+    let mut end = Instant::now() + SILENCE;
+    let stream = by(end, Async::<TcpStream>::connect(address)).await?;
     let ask = format!(
-        "GET /discovery/hosts?follow=1&since={generation} HTTP/1.1\r\nHost: {address}\r\n\
+        "GET /discovery/hosts?follow=1&since={since} HTTP/1.1\r\nHost: {address}\r\n\
          Accept: application/json\r\n\r\n"
     );
-    bounded(write_all(&stream, &[ask.as_bytes()])).await?;
+    by(end, write_all(&stream, &[ask.as_bytes()])).await?;
     let mut buffer = ReadBuffer::default();
     let head = loop {
         if let Some(head) = http::head(buffer.data())? {
             break head;
         }
-        if bounded(buffer.fill(&stream)).await? == 0 {
+        if by(end, buffer.fill(&stream)).await? == 0 {
             return Ok(());
         }
     };
     buffer.consume(head.size);
     answered.set(true);
-    let mut line: Vec<u8> = Vec::new();
+    end = Instant::now() + SILENCE;
+    let mut lists = Objects::default();
     loop {
         while !buffer.data().is_empty() {
             let (body, size) = if head.chunked {
@@ -175,28 +199,19 @@
             } else {
                 (buffer.data(), buffer.data().len())
             };
-            line.extend_from_slice(body);
+            lists.add(body);
             buffer.consume(size);
-            take_lines(node, &mut line, generation)?;
+            while let Some(part) = lists.next()? {
+                node.heard.raise();
+                end = Instant::now() + SILENCE;
+                if let Whole::Object(text) = part {
+                    node.take(serde_json::from_slice(&text)?, false);
+                }
+            }
         }
         buffer.rest();
-        if bounded(buffer.fill(&stream)).await? == 0 {
+        if by(end, buffer.fill(&stream)).await? == 0 {
             return Ok(());
         }
     }
 }
-
-/// Takes all whole lines out of `text`; an empty one only tells that the watch lives.
-fn take_lines(node: &Follower, text: &mut Vec<u8>, generation: &mut u64) -> Result<(), WatchError> {
-    while let Some(end) = text.iter().position(|byte| *byte == b'\n') {
-        let line = text[..end].trim_ascii();
-        node.heard.raise();
-        if !line.is_empty() {
-            let list: ServerList = serde_json::from_slice(line)?;
-            *generation = list.generation;
-            node.take(&list, false);
-        }
-        text.drain(..=end);
-    }
-    if text.len() > LONGEST_LINE { Err(WatchError::Line) } else { Ok(()) }
-}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod leases;
 pub mod life;
 pub mod members;
+pub mod objects;
 pub mod operation;
 pub mod peers;
 pub mod pg;
@@ -101,7 +102,7 @@
         let present = (0..config.settings.classes.len()).map(linnetdeal_core::ClassId).collect();
         classes.set(&config.settings.classes, present, config.host.longest_deadline);
         tracing::debug!(target: "settings", "{:?}", config.settings);
-        let backoff = Backoff::new(config.seed, config.settings.fleet);
+        let backoff = Backoff::new(config.seed, config.settings.fleet, config.settings.drain_grace);
         let (checks, report) = (config.settings.checks != Checks::None, config.settings.report.clone());
         let router = Router::new(config.seed, config.settings);
         let (tells, told) = async_channel::bounded(peers::MOST_WAITING);
@@ -210,7 +211,7 @@
         }
         // The list last held comes first: a pooler serves from it while discovery is down.
         let follower = Follower::new(source, feed.clone(), counters);
-        follower.take(&config.known, true);
+        follower.take(config.known, true);
         let listener = match &handed {
             Some(number) => {
                 let bad =
@@ -290,7 +291,7 @@
             executor.spawn(or(talk, left)).detach();
         }
         executor.spawn(probes::run(executor.clone(), driver, pool, wanted)).detach();
-        executor.spawn(discovery::run(follower, config.known.generation, backoff)).detach();
+        executor.spawn(discovery::run(follower, backoff)).detach();
         executor
             .spawn(async move {
                 open.raised().await;
--- a/crates/net/src/members.rs
+++ b/crates/net/src/members.rs
@@ -1,7 +1,7 @@
 //! Who the members are at this moment, by all sources that there are, and the way in for what these tell.
 
 use crate::driver::Driver;
-use linnetdeal_core::membership::{Doubt, Known, Membership, News, SourceId, Taken};
+use linnetdeal_core::membership::{Claim, Doubt, Known, Membership, News, SourceId, Taken};
 use linnetdeal_core::succession::Changes;
 use linnetdeal_core::*;
 use std::cell::RefCell;
@@ -135,6 +135,15 @@
         self.members.0.borrow().banned().cloned().collect()
     }
 
+    /// Whether a claim would have somebody back who drains or is gone, and shows a later start of his; `None` if it would
+    /// have nobody back.
+    #[must_use]
+    pub fn brings_back(&self, claim: &Claim) -> Option<bool> {
+        let members = self.members.0.borrow();
+        let known = members.get(&claim.member).filter(|known| known.state != ListState::Healthy)?;
+        (claim.state == ListState::Healthy).then(|| claim.started > known.started)
+    }
+
     /// Takes news in and passes what it changes to the module at once.
     pub fn tell(&self, source: SourceId, news: News) -> Taken {
         let taken = self.members.0.borrow_mut().take(self.now(), source, news);
