Requests: one look before the first byte, at the member, the client and the process

- request.rs polled a ready order, and then the attempt, before the client's end: with both in one poll the request went out (a_client_that_left_while_a_kept_connection_was_proved..., ..._was_opened...).
Now upstream.rs asks Patron::ended in the poll that writes, where it asks whether the member is in service.
- client_left() slept for ever once 16 KiB had been sent ahead: such a client's end was never seen, and a held write went out for it (a_held_write_is_not_sent_on_for_who_left_behind_a_full_buffer: never counted gone=2 in 30 s).
Now the end behind what is not read is asked for every 0.1 s (poll, POLLRDHUP), and before the first byte.
- An attempt cut or recalled before its first byte counted as one that may have run: failed where a refusal is honest (what_comes_behind_the_last_answers...: 08007 for 53300).
- A request's last byte out, but not that of the empty query behind it, and then a break: taken for never run. upstream.rs, Course.
- A dial to who had been taken out while room for a connection was waited for: dials=7 for 6 and one more.
- With deadlines under 0.45 s Leaving::plan put deaf behind ending and ended: both came at one moment, without time for the last answers (core/tests/succession.rs).
Now no step comes after the next, and last answers get 0.1 s after a standstill too.
- SIGHUP and SIGTERM before the handlers stood ended the process (signals_before_it_serves...).
- Class names with spaces or commas were changed in reading; limits.sockets of 3 and DialTimeout 0 made a pooler that serves nobody.

--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -52,8 +52,10 @@
                 let items: Vec<String> = items.iter().map(plain).collect();
                 self.0.insert(path.to_owned(), items.join(","));
             }
+            // Only in lists must commas and spaces not stand: a class is named by its clients as it is here.
             _ => {
-                self.0.insert(path.to_owned(), plain(value));
+                let text = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+                self.0.insert(path.to_owned(), text);
             }
         }
     }
@@ -105,7 +107,7 @@
     }
 }
 
-/// A plain value as the pairs have it.
+/// A plain value as lists have it.
 fn plain(value: &Value) -> String {
     value.as_str().map_or_else(|| value.to_string(), |text| text.replace([' ', ','], "_"))
 }
--- a/crates/core/src/succession.rs
+++ b/crates/core/src/succession.rs
@@ -72,9 +72,11 @@
     /// connects to the newer process, and its clients come there as soon as they have their answers.
     #[must_use]
     pub fn plan(longest_deadline: Span, taken: bool) -> Self {
-        let ending = Span(longest_deadline.min(LONGEST_COUNTED).0 + KILL_GRACE.0 - MARGIN.0);
+        // Where deadlines are short all of it comes close together, but each step no later than the next: had the last two
+        // come at one moment, what was open would have ended with the process, without an answer.
+        let ending = Span(longest_deadline.min(LONGEST_COUNTED).0 + KILL_GRACE.0 - MARGIN.0).max(ARRIVALS);
         let closing = Span(ending.0 - PARTING.0).max(if taken { Span(0) } else { ARRIVALS });
-        let deaf = if taken { Span(0) } else { Span(closing.0 + STRAGGLERS.0) };
+        let deaf = if taken { Span(0) } else { Span(closing.0 + STRAGGLERS.0).min(ending) };
         Self { parting: taken.then_some(Span(0)), closing, deaf, ending, ended: Span(ending.0 + FLUSH.0) }
     }
 }
--- a/crates/core/tests/succession.rs
+++ b/crates/core/tests/succession.rs
@@ -29,12 +29,14 @@
 
 #[test]
 fn a_process_leaves_in_time_and_at_once_where_its_place_is_taken() {
-    for ms in [100, 300, 1_000, 3_000, 5_000, 60_000] {
+    for ms in [0, 1, 100, 200, 300, 400, 1_000, 3_000, 5_000, 60_000] {
         // SIGKILL comes after the longest deadline, counted as 3 s at most, and 0.7 s.
         let kill = Span::millis(ms.min(3_000) + 700);
         let (alone, taken) = (Leaving::plan(Span::millis(ms), false), Leaving::plan(Span::millis(ms), true));
         for plan in [alone, taken] {
             assert!(plan.ending < plan.ended && plan.ended < kill, "{ms}: {plan:?}");
+            // The steps are carried out one after another: none may hold up the last answers.
+            assert!(plan.closing <= plan.ending && plan.deaf <= plan.ending, "{ms}: {plan:?}");
         }
         assert!(taken.closing < taken.ending, "{ms}: {taken:?}");
         assert!(alone.deaf >= Span::millis(400), "connections keep arriving: {alone:?}");
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -124,6 +124,8 @@
     let Some(path) = files.config else {
         return Err(End::config("name a configuration, as GW_CONFIG or as the only argument"));
     };
+    // From the first moment: a configuration may be announced while the first one is being read.
+    let signals = linnetdeal_net::signals::keep().map_err(|error| End::other(format!("signals: {error}")))?;
     let operator = match &files.operator {
         None => Operator::default(),
         Some(path) => Operator::load(path).map_err(End::config)?,
@@ -142,7 +144,7 @@
         leases.setup.tasks.push(work::task(settings));
         wanted
     });
-    let pooler = Pooler::new(config, path, leases, work).map_err(End::other)?;
+    let pooler = Pooler::new(config, path, leases, work, signals).map_err(End::other)?;
     match &operator.registry {
         None => pooler.run(std::future::ready(())),
         Some(settings) => {
--- a/crates/daemon/tests/crossings.rs
+++ b/crates/daemon/tests/crossings.rs
@@ -1,8 +1,15 @@
 //! Rare moments, each forced by an order of events that the scripted peers hold: docs/design/crossings.md lists them.
 
 mod peers;
+use linnetdeal_net::pg::write;
 use peers::*;
 use serde_json::Value;
+use std::io::Write;
+use std::net::TcpListener;
+use std::process::Command;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 
 const NOW_MS: &str = "1767225600123";
@@ -140,3 +147,465 @@
     watch.send(Some(list(40, false, vec![started]))).unwrap();
     served_by(&mut client, "s-1");
 }
+
+#[test]
+fn who_is_taken_out_while_room_for_a_connection_is_waited_for_is_not_called() {
+    let (open, leaves) = held("s-1");
+    let stays = plain("s-2", "replica");
+    let discovery = Discovery::new();
+    let pooler = Pooler::within(&discovery, vec![leaves.entry("up", "replica")], FEW);
+    let (_, watch) = discovery.watch();
+    let mut clients = more_than_room(&pooler, &leaves);
+    watch.send(Some(list(42, false, vec![leaves.entry("draining", ""), stays.entry("up", "")]))).unwrap();
+    // The word has been taken once a new watch asks for what comes behind it.
+    watch.send(None).unwrap();
+    assert!(discovery.watch().0.contains("since=42"));
+    drop(open);
+    let values: Vec<_> = clients.iter_mut().map(|client| client.answer().value.unwrap()).collect();
+    assert_eq!(values.iter().filter(|value| *value == b"s-1").count(), ROOM);
+    assert_eq!(values.iter().filter(|value| *value == b"s-2").count(), 1);
+    assert_eq!(leaves.got().len(), ROOM);
+    assert!(pooler.counters().contains(&format!(" dials={} ", ROOM + 1)), "who drains is not even called");
+}
+
+#[test]
+fn who_is_taken_out_while_a_kept_connection_is_proved_is_sent_nothing() {
+    let proof = Proof::new("s-1");
+    let stays = plain("s-2", "master");
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![proof.server.entry("up", "master")]);
+    let (_, watch) = discovery.watch();
+    let mut client = Client::connect(&pooler);
+    assert_eq!(client.ask(&top_up("1")).value.as_deref(), Some(&b"done"[..]));
+    client.send(&top_up("2"));
+    proof.asked();
+    pooler.freeze();
+    watch
+        .send(Some(list(42, false, vec![proof.server.entry("draining", ""), stays.entry("up", "master")])))
+        .unwrap();
+    watch.send(None).unwrap();
+    pooler.thaw();
+    assert!(discovery.watch().0.contains("since=42"), "the word was taken");
+    proof.answer();
+    assert_eq!(client.answer().value.as_deref(), Some(&b"s-2"[..]));
+    assert_eq!(proof.server.got().len(), 1);
+}
+
+// ---- A client leaves
+
+/// A server that says when it is asked with an empty query whether a kept connection lives, and answers when told to.
+struct Proof {
+    server: Server,
+    asked: Receiver<()>,
+    go: Sender<()>,
+    done: Receiver<()>,
+}
+
+impl Proof {
+    fn new(id: &'static str) -> Self {
+        let ((tell, asked), (go, told), (end, done)) = (channel(), channel(), channel());
+        let ends = Mutex::new((tell, told, end));
+        // An empty query that came along with a statement is no proof.
+        let along = AtomicBool::new(false);
+        let server = Server::raw(id, move |wire, statement| {
+            if !statement.is_empty() {
+                along.store(wire.has_more(), Ordering::Relaxed);
+                if statement.starts_with("SHOW") {
+                    wire.row(b"x0=1767225600.1,x1=1", "master", NOW_MS);
+                } else {
+                    wire.row(b"done", "master", NOW_MS);
+                }
+                return true;
+            }
+            let proof = !along.swap(false, Ordering::Relaxed);
+            let (tell, told, end) = &*ends.lock().unwrap();
+            if proof {
+                // Who asks after the test is over finds nobody.
+                if tell.send(()).is_err() || told.recv().is_err() {
+                    return false;
+                }
+            }
+            wire.put(b"I\0\0\0\x04Z\0\0\0\x05I");
+            if proof {
+                let _ = end.send(());
+            }
+            true
+        });
+        Self { server, asked, go, done }
+    }
+
+    fn asked(&self) {
+        self.asked.recv_timeout(PATIENCE).unwrap();
+    }
+
+    fn answer(&self) {
+        self.go.send(()).unwrap();
+        self.done.recv_timeout(PATIENCE).unwrap();
+    }
+}
+
+/// A server that says when it has a statement, and does with it what it is told.
+struct Slow {
+    server: Server,
+    go: Sender<&'static str>,
+    done: Receiver<()>,
+}
+
+impl Slow {
+    fn new(id: &'static str) -> Self {
+        let ((go, told), (end, done)) = (channel::<&'static str>(), channel());
+        let ends = Mutex::new((told, end));
+        let server = Server::raw(id, move |wire, statement| {
+            let (told, end) = &*ends.lock().unwrap();
+            if statement.is_empty() {
+                wire.put(b"I\0\0\0\x04Z\0\0\0\x05I");
+            } else {
+                match told.recv() {
+                    Ok("53300") => wire.error("53300", "replica"),
+                    Ok(_) => wire.row(b"done", "replica", NOW_MS),
+                    Err(_) => return false,
+                }
+            }
+            // All that came along has been answered.
+            if !wire.has_more() {
+                let _ = end.send(());
+            }
+            true
+        });
+        Self { server, go, done }
+    }
+
+    fn answer(&self, how: &'static str) {
+        self.go.send(how).unwrap();
+        self.done.recv_timeout(PATIENCE).unwrap();
+    }
+}
+
+fn until(mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "in vain");
+        std::thread::yield_now();
+    }
+}
+
+/// A server that answers once the sender is dropped.
+fn held(id: &'static str) -> (Sender<()>, Server) {
+    let (open, opened) = channel::<()>();
+    let opened = Mutex::new(opened);
+    let server = Server::new(id, move |wire, _| {
+        assert!(opened.lock().unwrap().recv().is_err());
+        wire.row(id.as_bytes(), "replica", NOW_MS);
+        true
+    });
+    (open, server)
+}
+
+/// So many descriptors leave room for so many connections to servers.
+const FEW: usize = 24;
+const ROOM: usize = 6;
+
+/// One client more than there is room for connections to servers, each with a request.
+fn more_than_room(pooler: &Pooler, server: &Server) -> Vec<Client> {
+    let ask = |at: usize| {
+        let mut client = Client::connect(pooler);
+        client.send(&menu(&at.to_string()));
+        client
+    };
+    let clients = (0..=ROOM).map(ask).collect();
+    until(|| server.got().len() == ROOM);
+    pooler.counts(&format!(" sent={} ", ROOM + 1));
+    clients
+}
+
+fn ids(server: &Server) -> Vec<String> {
+    let id = |of: &String| of.split_once("id=").unwrap().1.split_once(',').unwrap().0.to_owned();
+    server.got().iter().map(id).collect()
+}
+
+#[test]
+fn what_was_sent_ahead_is_not_sent_on_once_the_client_has_left() {
+    // The answer to the first request and the client's end are found in the same poll.
+    let slow = Slow::new("s-1");
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![slow.server.entry("up", "replica")]);
+    let mut client = Client::connect(&pooler);
+    client.send(&menu("1"));
+    client.send(&menu("2"));
+    until(|| slow.server.got().len() == 1);
+    pooler.freeze();
+    slow.answer("row");
+    drop(client);
+    pooler.thaw();
+    pooler.counts(" gone=1 ");
+    assert_eq!(ids(&slow.server), ["1"]);
+    assert!(pooler.counters().contains(" served=1 "));
+}
+
+#[test]
+fn a_client_that_left_between_two_attempts_gets_no_second() {
+    let (one, two) = (Slow::new("s-1"), Slow::new("s-2"));
+    let discovery = Discovery::new();
+    let known = [&one, &two].map(|of| of.server.entry("up", "replica")).to_vec();
+    let pooler = Pooler::new(&discovery, known);
+    // Both have a kept connection, so that nothing is waited for.
+    let mut clients = [Client::connect(&pooler), Client::connect(&pooler)];
+    for turn in 0.. {
+        assert!(turn < 1_000, "chance never picks both");
+        let id = format!("w{turn}");
+        clients[0].send(&menu(&id));
+        until(|| [&one, &two].iter().any(|of| ids(&of.server).contains(&id)));
+        let at = if ids(&one.server).contains(&id) { &one } else { &two };
+        at.answer("row");
+        assert!(clients[0].answer().value.is_some());
+        if !one.server.got().is_empty() && !two.server.got().is_empty() {
+            break;
+        }
+    }
+    let [_stays, mut leaves] = clients;
+    leaves.send(&menu("1"));
+    until(|| [&one, &two].iter().any(|of| ids(&of.server).contains(&"1".to_owned())));
+    let (first, second) =
+        if ids(&one.server).contains(&"1".to_owned()) { (&one, &two) } else { (&two, &one) };
+    pooler.freeze();
+    first.answer("53300");
+    drop(leaves);
+    pooler.thaw();
+    pooler.counts(" gone=1 ");
+    assert!(!ids(&second.server).contains(&"1".to_owned()), "sent on though the client has left");
+}
+
+#[test]
+fn a_client_that_left_while_a_kept_connection_was_proved_gets_nothing_sent() {
+    let proof = Proof::new("s-1");
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![proof.server.entry("up", "master")]);
+    let mut client = Client::connect(&pooler);
+    assert_eq!(client.ask(&top_up("1")).value.as_deref(), Some(&b"done"[..]));
+    client.send(&top_up("2"));
+    proof.asked();
+    // The proof and the client's end are found in the same poll.
+    pooler.freeze();
+    proof.answer();
+    drop(client);
+    pooler.thaw();
+    pooler.counts(" gone=1 ");
+    assert_eq!(ids(&proof.server), ["1"]);
+    assert!(pooler.counters().contains(" outcome.moot=1 "), "nothing was sent, so nothing may have run");
+}
+
+#[test]
+fn a_client_that_left_while_a_connection_was_opened_gets_nothing_sent() {
+    let ((tell, dialled), (go, told)) = (channel(), channel::<()>());
+    let (end, welcomed) = channel();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let got = std::thread::spawn(move || {
+        let mut wire = Wire::new(listener.accept().unwrap().0);
+        assert!(wire.startup());
+        tell.send(()).unwrap();
+        told.recv().unwrap();
+        let mut out = Vec::new();
+        write::welcome(&mut out, 1, 1);
+        wire.put(&out);
+        end.send(()).unwrap();
+        wire.message().is_some()
+    });
+    let discovery = Discovery::new();
+    let mut entry = plain("s-1", "replica").entry("up", "replica");
+    entry["hostPort"] = address.to_string().into();
+    let pooler = Pooler::new(&discovery, vec![entry]);
+    let mut client = Client::connect(&pooler);
+    client.send(&menu("1"));
+    dialled.recv_timeout(PATIENCE).unwrap();
+    // The connection comes up and the client's end is there in the same poll.
+    pooler.freeze();
+    go.send(()).unwrap();
+    welcomed.recv_timeout(PATIENCE).unwrap();
+    drop(client);
+    pooler.thaw();
+    pooler.counts(" gone=1 ");
+    assert!(!got.join().unwrap(), "something was sent on the new connection");
+}
+
+#[test]
+fn a_held_write_is_not_sent_on_for_who_left_behind_a_full_buffer() {
+    let replica = Server::new("s-1", |wire, statement| {
+        if statement.starts_with("SHOW") {
+            wire.row(b"x0=1767225600.1,x1=0", "replica", NOW_MS);
+        } else {
+            wire.error("25006", "replica");
+        }
+        true
+    });
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![replica.entry("up", "master")]);
+    let (_, watch) = discovery.watch();
+    // Its end stands behind more than is read ahead; another's right behind its request.
+    let (mut ahead, mut plainly) = (Client::connect(&pooler), Client::connect(&pooler));
+    ahead.send(&top_up("1"));
+    (0..300).for_each(|at| ahead.send(&menu(&format!("1-{at}"))));
+    plainly.send(&top_up("2"));
+    until(|| ids(&replica).iter().any(|id| id == "1") && ids(&replica).iter().any(|id| id == "2"));
+    drop(ahead);
+    drop(plainly);
+    pooler.counts(" gone=2 ");
+    let primary = plain("s-2", "master");
+    watch.send(Some(list(42, false, vec![primary.entry("up", "master")]))).unwrap();
+    let mut client = Client::connect(&pooler);
+    assert_eq!(client.ask(&top_up("3")).value.as_deref(), Some(&b"s-2"[..]));
+    assert_eq!(ids(&primary), ["3"]);
+}
+
+#[test]
+fn a_client_that_left_while_it_waited_for_room_gets_nothing_sent_and_takes_none() {
+    let (open, server) = held("s-1");
+    let discovery = Discovery::new();
+    let pooler = Pooler::within(&discovery, vec![server.entry("up", "replica")], FEW);
+    let mut clients = more_than_room(&pooler, &server);
+    let waits = (0..=ROOM).find(|at| !ids(&server).contains(&at.to_string())).unwrap();
+    // The last room comes free and its client has left, in the same poll.
+    pooler.freeze();
+    drop(clients.remove(waits));
+    drop(open);
+    pooler.thaw();
+    for client in &mut clients {
+        assert_eq!(client.answer().value.as_deref(), Some(&b"s-1"[..]));
+    }
+    pooler.counts(" gone=1 ");
+    assert_eq!(server.got().len(), ROOM);
+    assert_eq!(clients[0].ask(&menu("next")).value.as_deref(), Some(&b"s-1"[..]), "its room is free");
+}
+
+#[test]
+fn all_clients_leave_at_once_and_half_closed_ones_with_them() {
+    let (open, server) = held("s-1");
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let mut clients: Vec<Client> = (0..60).map(|_| Client::connect(&pooler)).collect();
+    for (at, client) in clients.iter_mut().enumerate() {
+        client.send(&menu(&at.to_string()));
+    }
+    pooler.counts(" taken=60 ");
+    pooler.freeze();
+    let mut half = clients.pop().unwrap();
+    half.0.stream.shutdown(std::net::Shutdown::Write).unwrap();
+    drop(clients);
+    pooler.thaw();
+    pooler.counts(" gone=60 ");
+    assert!(half.0.message().is_none(), "who has closed its side has left, and is owed nothing");
+    let before = server.got().len();
+    drop(open);
+    assert_eq!(Client::connect(&pooler).ask(&menu("next")).value.as_deref(), Some(&b"s-1"[..]));
+    assert_eq!(server.got().len(), before + 1);
+}
+
+// ---- The process ends
+
+#[test]
+fn what_comes_behind_the_last_answers_is_refused_with_nothing_sent() {
+    let (open, server) = held("s-1");
+    let discovery = Discovery::new();
+    let config = config(&discovery, vec![server.entry("up", "replica")], 1_024);
+    let mut pooler = Pooler::on(&config.replace("9000.0", "900.0"));
+    let mut client = Client::connect(&pooler);
+    // Both are there when the end comes: one at a server that hangs, one sent ahead.
+    let hold = |id: &str| menu(id).replace("d=8000", "d=900");
+    pooler.signal("TERM");
+    pooler.logged("draining");
+    (1..=4).for_each(|at| client.send(&hold(&at.to_string())));
+    let answers: Vec<String> = (1..=4).map(|_| client.answer().code.unwrap()).collect();
+    // 0.9 s for the first by its deadline; the second is cut, and what has not begun may be sent again without harm.
+    assert_eq!(answers[2..], ["53300", "53300"], "{answers:?}");
+    assert!(pooler.child.wait().unwrap().success());
+    assert!(server.got().len() <= 2, "{:?}", ids(&server));
+    drop(open);
+}
+
+#[test]
+fn where_deadlines_are_short_the_last_answers_are_still_given() {
+    let (open, server) = held("s-1");
+    let discovery = Discovery::new();
+    let config = config(&discovery, vec![server.entry("up", "replica")], 1_024);
+    let mut pooler = Pooler::on(&config.replace("9000.0", "200.0"));
+    let mut clients: Vec<Client> = (0..60).map(|_| Client::connect(&pooler)).collect();
+    pooler.signal("TERM");
+    pooler.logged("draining");
+    // By their deadlines they would take 2 s; SIGKILL comes after 0.9 s.
+    for (of, client) in clients.iter_mut().enumerate() {
+        (0..10).for_each(|at| client.send(&menu(&format!("{of}-{at}"))));
+    }
+    for client in &mut clients {
+        let answers: Vec<_> = (0..10).map(|_| client.answer().tags).collect();
+        assert!(answers.iter().all(|tags| tags == "EZ"), "{answers:?}");
+    }
+    assert!(pooler.child.wait().unwrap().success());
+    drop(open);
+}
+
+#[test]
+fn signals_before_it_serves_are_kept_for_later() {
+    for signal in ["HUP", "TERM"] {
+        let server = plain("s-1", "replica");
+        let discovery = Discovery::new();
+        let text = config(&discovery, vec![server.entry("up", "replica")], 1_024);
+        // It reads its configuration for as long as the test writes it.
+        let name = format!("linnetdeal-early-{signal}-{}", std::process::id());
+        let (pipe, file) =
+            (std::env::temp_dir().join(&name), std::env::temp_dir().join(format!("{name}.json")));
+        assert!(Command::new("mkfifo").arg(&pipe).status().unwrap().success());
+        std::fs::write(&file, &text).unwrap();
+        let mut begun = Pooler::begun(&text, |command| {
+            command.env("GW_CONFIG", &pipe);
+        });
+        let mut writer = std::fs::File::options().write(true).open(&pipe).unwrap();
+        begun.signal(signal);
+        // What is read again is the file that stands there by then.
+        std::fs::rename(&file, &pipe).unwrap();
+        writer.write_all(text.as_bytes()).unwrap();
+        drop(writer);
+        begun.listens();
+        if signal == "HUP" {
+            begun.logged("configuration read again");
+            assert_eq!(Client::connect(&begun).ask(&menu("1")).value.as_deref(), Some(&b"s-1"[..]));
+        } else {
+            begun.logged("draining");
+            assert!(begun.child.wait().unwrap().success());
+        }
+        let _ = std::fs::remove_file(&pipe);
+    }
+}
+
+// ---- Settings
+
+#[test]
+fn classes_may_have_any_name_and_what_cannot_be_used_is_said_with_its_place() {
+    let server = plain("s-1", "replica");
+    let discovery = Discovery::new();
+    let text = config(&discovery, vec![server.entry("up", "replica")], 1_024);
+    let pooler = Pooler::on(&text.replace("bundle-menu", "Menü für alle"));
+    let ask = |id: &str| menu(id).replace("bundle-menu", "Menü für alle");
+    let mut client = Client::connect(&pooler);
+    assert_eq!(client.ask(&ask("1")).value.as_deref(), Some(&b"s-1"[..]));
+    for (from, to, place) in [
+        ("\"sockets\":1024", "\"sockets\":3", "limits.sockets 3 is under 16"),
+        ("\"DialTimeout\":20000.0", "\"DialTimeout\":0", "setting Limits.DialTimeout is not above 0"),
+        ("\"retryable\"", "\"maybe\"", "unknown Lanes.0.Effect 'maybe'"),
+        ("\"SendCap\":10", "\"SendCap\":1e999", "number out of range"),
+        ("\"Objective\":8000.0", "\"Objective\":\"soon\"", "setting Lanes.0.Objective: 'soon' is no number"),
+    ] {
+        assert!(text.contains(from), "{from}");
+        pooler.configure(&text.replace(from, to));
+        pooler.signal("HUP");
+        let line = pooler.logged("configuration kept as it was");
+        assert!(line.contains(place), "{line}");
+        assert_eq!(client.ask(&ask("2")).value.as_deref(), Some(&b"s-1"[..]), "nothing changed");
+    }
+    // As large as they come.
+    let large = text.replace("9000.0", "1e300").replace("8000.0", "1e300").replace("20000.0", "1e300");
+    pooler.configure(&large.replace("\"SendCap\":10", "\"SendCap\":1e18"));
+    pooler.signal("HUP");
+    pooler.logged("configuration read again");
+    assert_eq!(client.ask(&menu("3")).value.as_deref(), Some(&b"s-1"[..]));
+    assert_eq!(client.ask(&top_up("4")).value.as_deref(), Some(&b"s-1"[..]));
+}
--- a/crates/daemon/tests/peers/mod.rs
+++ b/crates/daemon/tests/peers/mod.rs
@@ -325,6 +325,13 @@
     }
 
     fn with(config: &str, prepare: impl FnOnce(&mut Command)) -> Self {
+        let mut pooler = Self::begun(config, prepare);
+        pooler.listens();
+        pooler
+    }
+
+    /// One that has only just been started.
+    pub fn begun(config: &str, prepare: impl FnOnce(&mut Command)) -> Self {
         let (mut child, file) = start_with(config, prepare);
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
         let (sender, log) = channel();
@@ -336,9 +343,12 @@
             }
         });
         // Whatever goes wrong from here on, the process is ended when this is dropped.
-        let mut pooler = Self { child, address: ([127, 0, 0, 1], 0).into(), log, file };
-        pooler.address = pooler.logged("listening on ").rsplit(' ').next().unwrap().parse().unwrap();
-        pooler
+        Self { child, address: ([127, 0, 0, 1], 0).into(), log, file }
+    }
+
+    /// Waits until it says where it listens.
+    pub fn listens(&mut self) {
+        self.address = self.logged("listening on ").rsplit(' ').next().unwrap().parse().unwrap();
     }
 
     pub fn signal(&self, name: &str) {
@@ -346,6 +356,28 @@
         assert!(status.unwrap().success());
     }
 
+    /// Stops it, and waits until it stands: what comes from here on it finds all at once.
+    pub fn freeze(&self) {
+        self.signal("STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        while !std::fs::read_to_string(&stat).unwrap().rsplit(") ").next().unwrap().starts_with('T') {
+            std::thread::yield_now();
+        }
+    }
+
+    /// Has it go on.
+    pub fn thaw(&self) {
+        self.signal("CONT");
+    }
+
+    /// Waits until it has counted this.
+    pub fn counts(&self, what: &str) {
+        let end = std::time::Instant::now() + PATIENCE;
+        while !self.counters().contains(what) {
+            assert!(std::time::Instant::now() < end, "never counted{what}");
+        }
+    }
+
     /// What it has counted so far.
     pub fn counters(&self) -> String {
         self.signal("USR1");
--- a/crates/net/src/buffer.rs
+++ b/crates/net/src/buffer.rs
@@ -2,7 +2,7 @@
 
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice, Read};
 use std::net::TcpStream;
 use std::ops::Range;
@@ -135,6 +135,20 @@
 ///
 /// When writing fails, or the other side takes nothing more.
 pub async fn write_all(stream: &Async<TcpStream>, pieces: &[&[u8]]) -> io::Result<()> {
+    write_counted(stream, pieces, &Cell::new(0)).await
+}
+
+/// [`write_all`], with how many bytes the system has taken added to `written` as it takes them: that is known also when
+/// it fails or is given up.
+///
+/// # Errors
+///
+/// When writing fails, or the other side takes nothing more.
+pub async fn write_counted(
+    stream: &Async<TcpStream>,
+    pieces: &[&[u8]],
+    written: &Cell<usize>,
+) -> io::Result<()> {
     let mut stream = stream;
     for some in pieces.chunks(AT_ONCE) {
         let mut slices = [IoSlice::new(&[]); AT_ONCE];
@@ -144,7 +158,10 @@
         while !left.is_empty() {
             match stream.write_vectored(left).await? {
                 0 => return Err(io::ErrorKind::WriteZero.into()),
-                count => IoSlice::advance_slices(&mut left, count),
+                count => {
+                    written.set(written.get() + count);
+                    IoSlice::advance_slices(&mut left, count);
+                }
             }
         }
     }
--- a/crates/net/src/config.rs
+++ b/crates/net/src/config.rs
@@ -11,6 +11,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// With fewer descriptors there are none for clients and servers beside those that the process itself needs.
+const LEAST_SOCKETS: usize = 16;
+
 /// Why the configuration can't be used.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -164,6 +167,10 @@
         if settings.max_attempts == 0 {
             return Err(ConfigError::Settings("setting Limits.SendCap is not above 0".to_owned()));
         }
+        if file.limits.sockets < LEAST_SOCKETS {
+            let words = format!("limits.sockets {} is under {LEAST_SOCKETS}", file.limits.sockets);
+            return Err(ConfigError::Settings(words));
+        }
         // Positions on sockets are Unix times, and so is the clock of this host.
         settings.zero = Time(0);
         // This host keeps the list followed by itself, and one attempt of a request out at a time.
@@ -211,17 +218,18 @@
 impl HostSettings {
     fn decode(pairs: &Pairs) -> Result<Self, String> {
         let time = |key: &str, absent| Ok::<_, String>(duration(span(pairs.number_or(key, absent)?)));
+        let positive = |key: &str, time: Duration| {
+            if time.is_zero() { Err(format!("setting {key} is not above 0")) } else { Ok(time) }
+        };
         let mut longest_deadline = Duration::ZERO;
         for at in 0..pairs.number("Lanes.count")? as usize {
             let key = format!("Lanes.{at}.Deadline");
-            if pairs.number(&key)? <= 0.0 {
-                return Err(format!("setting {key} is not above 0"));
-            }
-            longest_deadline = longest_deadline.max(time(&key, 0.0)?);
+            pairs.number(&key)?;
+            longest_deadline = longest_deadline.max(positive(&key, time(&key, 0.0)?)?);
         }
         let names = pairs.text("Report.Fields").unwrap_or("").split(',').filter(|name| !name.is_empty());
         Ok(Self {
-            dial_timeout: time("Limits.DialTimeout", 250.0)?,
+            dial_timeout: positive("Limits.DialTimeout", time("Limits.DialTimeout", 250.0)?)?,
             keepalive: time("Limits.Keepalive", 30_000.0)?,
             longest_deadline,
             report: names.map(|name| (name.to_owned(), Field::named(name))).collect(),
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -3,7 +3,7 @@
 use super::buffer::{ReadBuffer, discard, write_all};
 use super::pg::write::{self, Severity};
 use super::pg::{self, Asks, PgError, Startup};
-use super::request::{Asked, Cut, Final, serve};
+use super::request::{Asked, Cut, Final, Patron, serve};
 use super::seats::{Rank, Seat, Seats};
 use super::upstream::{Pool, Reply, Statement};
 use crate::classes::Classes;
@@ -40,8 +40,10 @@
 const MOST_ERRORS: u32 = 8;
 /// Emptied by hand, it goes on as before for so long: the front asks ten times a second and stops 0.2 s after a no.
 const EMPTIED: Duration = Duration::from_millis(600);
-/// What a client may send ahead while its request is out; beyond it nothing more is read until then.
+/// What a client may send ahead while its request is out; beyond it nothing more is read until then, and its end, which
+/// stands behind what is not read, is asked for so often: a request whose client has left is not sent on 0.3 s later.
 const AHEAD: usize = 16 * 1024;
+const LOOK: Duration = Duration::from_millis(100);
 
 /// Opens the listening socket.
 ///
@@ -433,15 +435,8 @@
         out: &mut Vec<u8>,
     ) -> Result<bool, ClientError> {
         let Self { door, stream, buffer, .. } = self;
-        let left = async {
-            client_left(stream, buffer).await;
-            Cut::ClientLeft
-        };
-        let ending = async {
-            door.life.ending.raised().await;
-            Cut::ProcessEnds
-        };
-        let answer = serve(&door.driver, &*door.pool, &asked, or(left, ending)).await;
+        let asking = Asking { life: &door.life, stream, buffer: RefCell::new(buffer) };
+        let answer = serve(&door.driver, &*door.pool, &asked, &asking).await;
         if let (Final::Failed { at: Some(at) }, Some((class, Need::Write, _))) =
             (&answer, door.classes.get(asked.class))
         {
@@ -535,14 +530,68 @@
     }
 }
 
-/// Ends when the client has closed its connection. What it sends ahead is kept, within bounds.
-async fn client_left(stream: &Async<TcpStream>, buffer: &mut ReadBuffer) {
-    while buffer.data().len() < AHEAD {
-        if !matches!(buffer.fill(stream).await, Ok(1..)) {
-            return;
+/// A client with a request. What it sends ahead is kept, within bounds. One that has closed its side has left, as the
+/// protocol has it: that it still reads can't be seen.
+struct Asking<'a> {
+    life: &'a Life,
+    stream: &'a Async<TcpStream>,
+    /// Not borrowed across a wait.
+    buffer: RefCell<&'a mut ReadBuffer>,
+}
+
+impl Asking<'_> {
+    /// Whether no more is read for now.
+    fn is_ahead(&self) -> bool {
+        self.buffer.borrow().data().len() >= AHEAD
+    }
+
+    fn has_left(&self) -> bool {
+        while !self.is_ahead() {
+            match self.buffer.borrow_mut().fill_now(self.stream.get_ref()) {
+                Ok(1..) => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return false,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Ok(0) | Err(_) => return true,
+            }
         }
+        hung_up(self.stream)
     }
-    std::future::pending().await
+}
+
+impl Patron for Asking<'_> {
+    fn ended(&self) -> Option<Cut> {
+        if self.has_left() {
+            return Some(Cut::ClientLeft);
+        }
+        self.life.ending.is_up().then_some(Cut::ProcessEnds)
+    }
+
+    async fn end(&self) -> Cut {
+        loop {
+            if let Some(cut) = self.ended() {
+                return cut;
+            }
+            let ending = self.life.ending.raised();
+            let more = async {
+                if self.is_ahead() {
+                    Timer::after(LOOK).await;
+                } else {
+                    // What fails here shows at the next look.
+                    let _ = self.stream.readable().await;
+                }
+            };
+            or(more, ending).await;
+        }
+    }
+}
+
+/// Whether the other side has ended the connection, whatever stands unread before its end.
+fn hung_up(stream: &Async<TcpStream>) -> bool {
+    use rustix::event::{PollFd, PollFlags, Timespec, poll};
+    let ends = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
+    poll(&mut polled, Some(&Timespec { tv_sec: 0, tv_nsec: 0 })).is_ok_and(|count| count > 0)
+        && polled[0].revents().intersects(ends)
 }
 
 /// The id of a request that is open, given free when it is dropped: nobody else may use it meanwhile.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -31,6 +31,7 @@
 use crate::config::Config;
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use async_signal::Signals;
 use counters::Shown;
 use discovery::{Follower, Source};
 use doubts::Doubts;
@@ -65,9 +66,6 @@
     /// Clients can't be listened for.
     #[error("listening on {0}: {1}")]
     Listen(SocketAddr, std::io::Error),
-    /// Signals can't be had.
-    #[error("signals: {0}")]
-    Signals(std::io::Error),
 }
 
 /// A pooler that listens, with nothing served yet. Further sources of members are put beside it before it runs.
@@ -82,16 +80,17 @@
 
 impl Pooler {
     /// Opens all that a pooler needs. `config_file` is where `config` was read, and is read again on SIGHUP. `leases` hold
-    /// only where the settings allow poolers to talk.
+    /// only where the settings allow poolers to talk. `signals` were kept since the start.
     ///
     /// # Errors
     ///
-    /// When it can't listen, or signals can't be had.
+    /// When it can't listen.
     pub fn new(
         config: Config,
         config_file: PathBuf,
         leases: Option<Wanted>,
         work: Option<WorkWanted>,
+        signals: Signals,
     ) -> Result<Self, RunError> {
         let (shown, life) = (Rc::new(Shown::default()), Rc::new(Life::default()));
         let counters = shown.counters.clone();
@@ -222,7 +221,7 @@
         };
         let listener = listener.map_err(|error| RunError::Listen(config.listen, error))?;
         let listening = listener.get_ref().local_addr().unwrap_or(config.listen);
-        signals::listen(&Rc::new(handler)).map_err(RunError::Signals)?;
+        signals::listen(&Rc::new(handler), signals);
         let (a, b, c) = (driver.clone(), pool.clone(), pool.clone());
         executor.spawn(async move { a.run_wakes().await }).detach();
         executor.spawn(async move { b.run_upkeep().await }).detach();
--- a/crates/net/src/request.rs
+++ b/crates/net/src/request.rs
@@ -5,6 +5,7 @@
 use crate::config::duration;
 use futures_lite::future::or;
 use linnetdeal_core::*;
+use std::cell::Cell;
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
@@ -18,15 +19,26 @@
     type Reply;
 
     /// Makes one attempt and waits no longer than `wait` for its end. Nothing below this may send it again.
-    /// When the future ends or is dropped, nothing of the attempt is out any more.
+    /// When the future ends or is dropped, nothing of the attempt is out any more. In the poll that writes the first byte
+    /// to a member that may be sent to, `begins` is asked, once; if it says no, nothing is sent.
     fn attempt(
         &self,
         member: &MemberId,
         query: &Self::Query,
         wait: Duration,
+        begins: &dyn Fn() -> bool,
     ) -> impl Future<Output = Ended<Self::Reply>>;
 }
 
+/// The client that asks, and the process that serves it.
+pub trait Patron {
+    /// Why the request is to go no further, by all that can be seen at this moment.
+    fn ended(&self) -> Option<Cut>;
+
+    /// Waits until there is a reason.
+    fn end(&self) -> impl Future<Output = Cut>;
+}
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub struct Ended<R> {
@@ -101,9 +113,9 @@
     driver: &Rc<Driver>,
     carrier: &C,
     asked: &Asked<C::Query>,
-    cut: impl Future<Output = Cut>,
+    patron: &impl Patron,
 ) -> Final<C::Reply> {
-    let mut cut = pin!(cut);
+    let mut cut = pin!(patron.end());
     let mut sends = 0;
     let mut may_have_run = None;
 
@@ -133,21 +145,32 @@
             }
         };
 
-        // Sent: an answer that is there goes before the module's recall, and both before the client's leaving.
+        // Sent: an answer that is there goes before the module's recall, and both before the client's leaving. But the client
+        // may have left, or the process be about to end, in the same poll as the order came, a connection was proved or a
+        // dial came up: that is looked for before the first byte, whatever came before it.
         driver.counters.sent.add();
         let sent = driver.clock.now();
+        let (begun, stopped) = (Cell::new(false), Cell::new(None));
+        let begins = || {
+            stopped.set(patron.ended());
+            begun.set(stopped.get().is_none());
+            begun.get()
+        };
         let turn = {
-            let attempt = async { Turn::Ended(carrier.attempt(&member, &asked.query, duration(wait)).await) };
+            let attempt = carrier.attempt(&member, &asked.query, duration(wait), &begins);
+            let attempt = async { Turn::Ended(attempt.await) };
             let recall = async { Turn::Ordered(ticket.order().await) };
             let left = async { Turn::Cut(cut.as_mut().await) };
             or(attempt, or(recall, left)).await
         };
 
-        // The attempt is over, with its connection if it was given up; only now is the module told.
+        // The attempt is over, with its connection if it was given up; only now is the module told. One that was given up before
+        // its first byte never ran.
+        let given_up = if begun.get() { Verdict::Cancelled } else { Verdict::Moot };
         let (ended, after) = match turn {
-            Turn::Ended(ended) => (ended, None),
-            Turn::Ordered(order) => (Ended::without_answer(Verdict::Cancelled), Some(Ok(order))),
-            Turn::Cut(why) => (Ended::without_answer(Verdict::Cancelled), Some(Err(why))),
+            Turn::Ended(ended) => (ended, stopped.get().map(Err)),
+            Turn::Ordered(order) => (Ended::without_answer(given_up), Some(Ok(order))),
+            Turn::Cut(why) => (Ended::without_answer(given_up), Some(Err(why))),
         };
         let Ended { verdict, note, report, reply } = ended;
         if !verdict.never_ran() {
--- a/crates/net/src/signals.rs
+++ b/crates/net/src/signals.rs
@@ -19,6 +19,8 @@
 use std::time::{Duration, Instant};
 
 const LOOK: Duration = Duration::from_millis(10);
+/// The least time in which last answers are written.
+const LAST_WORDS: Duration = Duration::from_millis(100);
 
 /// What signals act on.
 pub(crate) struct Handler {
@@ -42,13 +44,17 @@
     pub(crate) driver: Rc<Driver>,
 }
 
-/// Handles signals until the pooler has drained.
+/// Keeps signals from here on, to be handled once the pooler is there: before that each of them would end the process.
 ///
 /// # Errors
 ///
 /// When signals can't be had.
-pub(crate) fn listen(handler: &Rc<Handler>) -> io::Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup, Signal::Usr1])?;
+pub fn keep() -> io::Result<Signals> {
+    Signals::new([Signal::Term, Signal::Int, Signal::Hup, Signal::Usr1])
+}
+
+/// Handles signals until the pooler has drained.
+pub(crate) fn listen(handler: &Rc<Handler>, mut signals: Signals) {
     let listener = handler.clone();
     let task = async move {
         let mut draining = false;
@@ -65,7 +71,6 @@
         }
     };
     handler.executor.spawn(task).detach();
-    Ok(())
 }
 
 /// Reads the configuration again, goes by its settings in one step and follows discovery where it says. Addresses, limits and
@@ -142,10 +147,13 @@
             None => life.closing.raise(),
         }
     }
-    for (until, stage) in [(plan.ending, &life.ending), (plan.ended, &life.ended)] {
-        while handler.seats.taken() > 0 && started.elapsed() < duration(until) {
+    let mut until = duration(plan.ending);
+    for stage in [&life.ending, &life.ended] {
+        while handler.seats.taken() > 0 && started.elapsed() < until {
             Timer::after(LOOK).await;
         }
         stage.raise();
+        // What is open is answered now. Should this process have stood still past all of it, the answers still get some time.
+        until = duration(plan.ended).max(started.elapsed() + LAST_WORDS);
     }
 }
--- a/crates/net/src/upstream.rs
+++ b/crates/net/src/upstream.rs
@@ -1,7 +1,7 @@
 //! Connections to servers: opened when none is free, reused last in first out, within a budget.
 
 use super::alarms::Alarms;
-use super::buffer::{ReadBuffer, write_all};
+use super::buffer::{ReadBuffer, write_all, write_counted};
 use super::connection::{Budget, Connection, Look, Lost, MARK, Permit, Presence, shortage};
 use super::counters::Counters;
 use super::members::Members;
@@ -118,6 +118,28 @@
     Sent,
 }
 
+/// What is known of an attempt under way, also when it is given up.
+struct Course {
+    stage: Cell<Stage>,
+    /// It went at once on a kept connection and has had nothing of an answer.
+    kept: Cell<bool>,
+    /// Bytes of the statement, and bytes that the system has taken of it and of what goes behind it.
+    size: usize,
+    written: Cell<usize>,
+}
+
+impl Course {
+    fn new(size: usize) -> Self {
+        Self { stage: Cell::new(Stage::Waiting), kept: Cell::new(false), size, written: Cell::new(0) }
+    }
+
+    /// How far it has come. With its last byte out a statement may run, though what goes behind it was not written.
+    fn stage(&self) -> Stage {
+        let stage = self.stage.get();
+        if stage == Stage::Writing && self.written.get() >= self.size { Stage::Sent } else { stage }
+    }
+}
+
 /// What was read up to ReadyForQuery, or until the server ended the connection.
 struct Exchange {
     verdict: Verdict,
@@ -341,6 +363,10 @@
             }
             stage.set(Stage::Waiting);
             let permit = self.permit(member).await;
+            // Room may have been long in coming: who was taken out meanwhile is not called either.
+            if !self.members.in_service(member) {
+                return Err(Lost::Withdrawn);
+            }
             stage.set(Stage::Dialing);
             match bounded(&self.alarms, self.host.dial_timeout, self.dial(member, permit)).await {
                 // The system is out of something though the budget is not: wait, and let an idle one go.
@@ -388,23 +414,25 @@
         }
     }
 
-    /// Sends one simple query and reads up to ReadyForQuery. The caller learns through `kept` of a request that went
-    /// at once on a kept connection and has had nothing of an answer.
+    /// Sends one simple query and reads up to ReadyForQuery. The caller learns through `course` how far it came.
     async fn exchange(
         &self,
         member: &MemberId,
         query: &[&[u8]],
         once: bool,
-        stage: &Cell<Stage>,
-        kept: &Cell<bool>,
+        course: &Course,
+        begins: &dyn Fn() -> bool,
     ) -> Result<(Connection, Exchange), Lost> {
+        let Course { stage, kept, written, .. } = course;
         // Who has been taken out since is not even called: work may begin there as soon as nothing is under way.
         if !self.members.in_service(member) {
             return Err(Lost::Withdrawn);
         }
         let (mut connection, reuse) = self.connection(member, once, stage).await?;
-        // The list may have changed while the connection was opened; nothing new goes to who drains or is gone.
-        if !self.members.in_service(member) {
+        // The one place before a first byte: while the connection was opened or proved the list may have changed, and nothing
+        // new goes to who drains or is gone; the client may have left, and the process be about to end. From here to the
+        // first write nothing is waited for.
+        if !self.members.in_service(member) || !begins() {
             return Err(Lost::Withdrawn);
         }
         stage.set(Stage::Writing);
@@ -412,10 +440,10 @@
         // that nothing but one answer came.
         if self.trust.borrow().marks(member, self.now()) {
             connection.marked();
-            write_all(&connection.stream, &[query, &[MARK]].concat()).await?;
+            write_counted(&connection.stream, &[query, &[MARK]].concat(), written).await?;
         } else {
             connection.unmarked();
-            write_all(&connection.stream, query).await?;
+            write_counted(&connection.stream, query, written).await?;
         }
         stage.set(Stage::Sent);
         kept.set(reuse == Some(Reuse::AtOnce));
@@ -434,19 +462,20 @@
         member: &MemberId,
         query: &[&[u8]],
         once: bool,
+        begins: &dyn Fn() -> bool,
     ) -> Result<(Connection, Exchange), Verdict> {
-        let (stage, kept) = (Cell::new(Stage::Waiting), Cell::new(false));
+        let course = Course::new(query.iter().map(|piece| piece.len()).sum());
         let _present = self.present(member);
-        let answer = async { Some(self.exchange(member, query, once, &stage, &kept).await) };
+        let answer = async { Some(self.exchange(member, query, once, &course, begins).await) };
         let limit = async {
             self.alarms.at(Instant::now() + wait).await;
             None
         };
         let ended = or(answer, limit).await;
-        if kept.get() && !matches!(ended, Some(Ok(_))) {
+        if course.kept.get() && !matches!(ended, Some(Ok(_))) {
             self.doubt(member, Reuse::AtOnce);
         }
-        match (ended, stage.get()) {
+        match (ended, course.stage()) {
             (Some(Ok(done)), _) => Ok(done),
             (Some(Err(Lost::Said(code))), _) => Err(verdict(code)),
             // Nothing was sent, and nothing is known of the member.
@@ -465,7 +494,7 @@
     pub async fn probe(&self, member: &MemberId) -> (Verdict, Option<Vec<f64>>) {
         let mut query = Vec::with_capacity(32);
         pg::write::query(&mut query, "SHOW gauges");
-        match self.within(PROBE_WAIT, member, &[&query], false).await {
+        match self.within(PROBE_WAIT, member, &[&query], false, &|| true).await {
             Err(verdict) => {
                 self.note(member, false, verdict);
                 (verdict, None)
@@ -552,12 +581,19 @@
     type Query = Statement;
     type Reply = Reply;
 
-    async fn attempt(&self, member: &MemberId, query: &Statement, wait: Duration) -> Ended<Reply> {
+    async fn attempt(
+        &self,
+        member: &MemberId,
+        query: &Statement,
+        wait: Duration,
+        begins: &dyn Fn() -> bool,
+    ) -> Ended<Reply> {
         let digits = wait.as_micros().div_ceil(1_000).max(1).to_string();
         let before = &query.bytes[query.whole.start..query.wait.start];
         let after = &query.bytes[query.wait.end..query.whole.end];
         let head = pg::write::query_head(before.len() + digits.len() + after.len());
-        match self.within(wait, member, &[&head, before, digits.as_bytes(), after], query.once).await {
+        let pieces: [&[u8]; 4] = [&head, before, digits.as_bytes(), after];
+        match self.within(wait, member, &pieces, query.once, begins).await {
             Err(verdict) => {
                 self.note(member, true, verdict);
                 Ended::without_answer(verdict)
