--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -347,10 +347,9 @@
         let usual = self.pace[open.class].takes(0.0).min((open.aim - open.arrived).times(USUAL_MOST));
         // Tried members and suspects serve only where nobody better is left, the primary included.
         let rank = |(id, m): &(&MemberId, &Member)| {
-            let tried = open.attempts.iter().any(|attempt| attempt.member == **id);
             // Nor does one that is known to be too slow. Where all are, it is no member's fault.
             let late = now + usual.times(m.slow.now(now)) > open.aim;
-            2 * u8::from(tried) + u8::from(late || self.suspect(m, now))
+            2 * u8::from(open.tried(id)) + u8::from(late || self.suspect(m, now))
         };
         let mut pool = replicas.clone();
         pool.retain(|(_, m)| self.fit(m, need, now));
@@ -894,8 +893,7 @@
         let deadline = open.deadline;
         self.set_due(id, deadline);
         let to = if hedge { self.place_read(now, id, actions) } else { None };
-        let untried = |open: &Open, to: &MemberId| open.attempts.iter().all(|attempt| attempt.member != *to);
-        if let Some(to) = to.filter(|to| self.open.get(&id).is_some_and(|open| untried(open, to))) {
+        if let Some(to) = to.filter(|to| self.open.get(&id).is_some_and(|open| !open.tried(to))) {
             self.retries -= 1.0;
             self.send(now, id, to, actions);
         }
@@ -952,30 +950,11 @@
 }
 
 impl Member {
-    fn new(group: GroupId, limit: f64) -> Self {
-        let state = ListState::Gone;
-        Self { group, state, limit, position: NEVER, read_at: NEVER, reached: NEVER, ..Self::default() }
-    }
-
     fn start(&mut self, now: Time, at: Time, credit: f64) {
         self.cold.start(now, at, credit);
         self.limit = LEAST_LIMIT;
     }
 
-    /// A removal does not wipe out a drain: where only drains bind, it binds on. Gives by how
-    /// much the number of members in service changes.
-    fn becomes(&mut self, state: ListState) -> f64 {
-        let served = self.state == ListState::Healthy;
-        if self.state != ListState::Draining || state == ListState::Healthy {
-            self.state = state;
-        }
-        f64::from(u8::from(self.state == ListState::Healthy)) - f64::from(u8::from(served))
-    }
-
-    fn role(&self) -> usize {
-        if self.primary_at > self.replica_at { PRIMARY } else { REPLICA }
-    }
-
     fn heal(&mut self, answers: u32) {
         self.ill *= HEALING.powi(i32::try_from(answers).unwrap_or(i32::MAX));
         self.ejections = self.ejections.saturating_sub(answers);
--- a/crates/core/src/choice/retune.rs
+++ b/crates/core/src/choice/retune.rs
@@ -1,9 +1,6 @@
 //! The one step in which a router's settings change. It decides nothing.
 
-use super::Router;
-use crate::interface::{Class, Settings};
-use crate::pace::Pace;
-use crate::state::Counts;
+use super::*;
 
 impl Router {
     /// The classes that it knows, of all versions, by number.
@@ -12,8 +9,8 @@
         &self.settings.classes
     }
 
-    /// Goes by these settings from now on; their classes are those of [`crate::retune::merge`]. Open requests keep their
-    /// classes, and the attempts that they might have when they were taken. What is known of members stays.
+    /// Goes by these settings from now on; their classes are those of [`crate::retune::merge`]. Open requests
+    /// keep their classes and the attempts that they might have. What is known of members stays.
     pub fn retune(&mut self, settings: Settings) {
         let new = settings.classes.iter().skip(self.pace.len());
         self.pace.extend(new.map(|class| Pace::guess(class.aim)));
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -59,6 +59,29 @@
     pub(crate) refusals: u32,
 }
 
+impl Member {
+    /// One that the list is about to name.
+    pub(crate) fn new(group: GroupId, limit: f64) -> Self {
+        let state = ListState::Gone;
+        Self { group, state, limit, position: NEVER, read_at: NEVER, reached: NEVER, ..Self::default() }
+    }
+
+    /// A removal does not wipe out a drain: where only drains bind, it binds on. Gives by how
+    /// much the number of members in service changes.
+    pub(crate) fn becomes(&mut self, state: ListState) -> f64 {
+        let served = self.state == ListState::Healthy;
+        if self.state != ListState::Draining || state == ListState::Healthy {
+            self.state = state;
+        }
+        f64::from(u8::from(self.state == ListState::Healthy)) - f64::from(u8::from(served))
+    }
+
+    /// What it was last shown to be.
+    pub(crate) fn role(&self) -> usize {
+        if self.primary_at > self.replica_at { PRIMARY } else { REPLICA }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Group {
     pub(crate) members: BTreeSet<MemberId>,
@@ -106,6 +129,11 @@
 }
 
 impl Open {
+    /// Whether it was sent there before.
+    pub(crate) fn tried(&self, member: &MemberId) -> bool {
+        self.attempts.iter().any(|attempt| attempt.member == *member)
+    }
+
     /// As one that waits.
     pub(crate) fn held(&self, id: RequestId, merit: f64, need: Need) -> Held {
         let Self { arrived, deadline, session, misses: walked, .. } = *self;
