--- a/crates/net/src/discovery.rs
+++ b/crates/net/src/discovery.rs
@@ -201,7 +201,7 @@
             };
             lists.add(body);
             buffer.consume(size);
-            while let Some(part) = lists.next()? {
+            while let Some(part) = lists.cut()? {
                 node.heard.raise();
                 end = Instant::now() + SILENCE;
                 if let Whole::Object(text) = part {
--- a/crates/net/src/objects.rs
+++ b/crates/net/src/objects.rs
@@ -49,7 +49,7 @@
     /// # Errors
     ///
     /// When what comes is no object, or one without an end.
-    pub fn next(&mut self) -> Result<Option<Whole>, TextError> {
+    pub fn cut(&mut self) -> Result<Option<Whole>, TextError> {
         while let Some(byte) = self.text.get(self.seen).copied() {
             self.seen += 1;
             match byte {
@@ -63,12 +63,12 @@
                 b'}' | b']' if self.depth > 0 => {
                     self.depth -= 1;
                     if self.depth == 0 {
-                        return Ok(Some(Whole::Object(self.cut())));
+                        return Ok(Some(Whole::Object(self.take_out())));
                     }
                 }
                 _ if self.depth > 0 => {}
                 b'\n' => {
-                    self.cut();
+                    self.take_out();
                     return Ok(Some(Whole::Line));
                 }
                 b' ' | b'\t' | b'\r' => {}
@@ -79,7 +79,7 @@
     }
 
     /// Takes out what has been looked at.
-    fn cut(&mut self) -> Vec<u8> {
+    fn take_out(&mut self) -> Vec<u8> {
         let rest = self.text.split_off(self.seen);
         self.seen = 0;
         std::mem::replace(&mut self.text, rest)
--- a/crates/net/src/upstream.rs
+++ b/crates/net/src/upstream.rs
@@ -678,3 +678,23 @@
     let verdict = answer.failed().map_or(Verdict::Ok, verdict);
     Ok(Exchange { verdict, notes: answer.into_notes(), pieces, large: None, value, size: at, ready })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The system may take the statement and not the empty query behind it, and then the connection breaks: a write that was
+    /// taken for never run would be sent again, and run twice.
+    #[test]
+    fn a_statement_may_run_from_its_last_byte_on_whatever_goes_behind_it() {
+        let course = Course::new(100);
+        assert_eq!(course.stage(), Stage::Waiting);
+        course.stage.set(Stage::Writing);
+        for (written, stage) in
+            [(0, Stage::Writing), (99, Stage::Writing), (100, Stage::Sent), (103, Stage::Sent)]
+        {
+            course.written.set(written);
+            assert_eq!(course.stage(), stage, "{written} of 100");
+        }
+    }
+}
