--- a/crates/daemon/tests/crossings.rs
+++ b/crates/daemon/tests/crossings.rs
@@ -4,7 +4,7 @@
 use linnetdeal_net::pg::write;
 use peers::*;
 use serde_json::Value;
-use std::io::Write;
+use std::io::{BufRead, Write};
 use std::net::TcpListener;
 use std::process::Command;
 use std::sync::Mutex;
@@ -191,6 +191,77 @@
     assert_eq!(proof.server.got().len(), 1);
 }
 
+#[test]
+fn a_watch_that_is_refused_is_asked_for_again_and_tells_what_it_missed() {
+    let (leaves, stays) = (plain("s-1", "replica"), plain("s-2", "replica"));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut discovery = Discovery::new();
+    discovery.address = listener.local_addr().unwrap();
+    let missed = list(42, false, vec![leaves.entry("draining", ""), stays.entry("up", "")]);
+    let script = std::thread::spawn(move || {
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let line = format!("{missed}\n");
+        let told = format!("{head}{:x}\r\n{line}\r\n", line.len());
+        let busy = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+        let mut open = Vec::new();
+        // Answered without news and ended, refused twice, reset without a word, and then answered.
+        for say in [head, busy, busy, "", &told] {
+            let mut stream = listener.accept().unwrap().0;
+            let asked = std::io::BufReader::new(stream.try_clone().unwrap()).lines().next().unwrap().unwrap();
+            assert!(asked.contains("since=41"), "{asked}");
+            stream.write_all(say.as_bytes()).unwrap();
+            if say.len() > head.len() && say.starts_with(head) {
+                open.push(stream);
+            }
+        }
+        open
+    });
+    let pooler = Pooler::new(&discovery, vec![leaves.entry("up", "replica")]);
+    let mut client = Client::connect(&pooler);
+    served_by(&mut client, "s-2");
+    nothing_more(&mut client, &leaves);
+    drop(script.join().unwrap());
+}
+
+#[test]
+fn a_new_process_takes_the_first_word_over_the_list_that_it_was_started_with() {
+    let (leaves, stays) = (plain("s-1", "replica"), plain("s-2", "replica"));
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![leaves.entry("up", "replica")]);
+    let (_, watch) = discovery.watch();
+    pooler.freeze();
+    // The word and the first client are found in the same poll.
+    watch.send(Some(list(42, true, vec![stays.entry("up", "")]))).unwrap();
+    watch.send(None).unwrap();
+    let mut client = Client::dial(&pooler, b"");
+    pooler.thaw();
+    assert!(client.answer().tags.ends_with('Z'));
+    assert!(discovery.watch().0.contains("since=42"));
+    assert_eq!(client.ask(&menu("1")).value.as_deref(), Some(&b"s-2"[..]));
+    assert!(leaves.got().is_empty());
+}
+
+#[test]
+fn what_was_turned_away_is_not_sent_again_to_who_leaves() {
+    let (leaves, stays) = (Slow::new("s-1"), plain("s-2", "replica"));
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![leaves.server.entry("up", "replica")]);
+    let (_, watch) = discovery.watch();
+    let mut client = Client::connect(&pooler);
+    client.send(&menu("1"));
+    until(|| leaves.server.got().len() == 1);
+    // The refusal and the word are found in the same poll.
+    pooler.freeze();
+    leaves.answer("53300");
+    watch
+        .send(Some(list(42, false, vec![leaves.server.entry("draining", ""), stays.entry("up", "")])))
+        .unwrap();
+    watch.send(None).unwrap();
+    pooler.thaw();
+    assert_eq!(client.answer().value.as_deref(), Some(&b"s-2"[..]));
+    assert_eq!(ids(&leaves.server), ["1"]);
+}
+
 // ---- A client leaves
 
 /// A server that says when it is asked with an empty query whether a kept connection lives, and answers when told to.
@@ -576,6 +647,64 @@
     }
 }
 
+#[test]
+fn at_the_end_each_request_has_the_answer_that_is_true_of_it() {
+    let (tell, dialled) = channel();
+    let tell = Mutex::new(tell);
+    let (open, opened) = channel::<()>();
+    let opened = Mutex::new(opened);
+    let (hang, hangs) = held("s-2");
+    let dials = Server::with_door(
+        "s-4",
+        move || {
+            tell.lock().unwrap().send(()).unwrap();
+            assert!(opened.lock().unwrap().recv().is_err());
+        },
+        |_, _| true,
+    );
+    let (discovery, mut entry) = (Discovery::new(), dials.entry("up", "replica"));
+    entry["cell"] = 4.into();
+    let mut pooler = Pooler::new(&discovery, vec![hangs.entry("up", "master"), entry]);
+    let asked = [
+        top_up("sent"),
+        menu("read"),
+        top_up("held").replace("cluster=2", "cluster=3"),
+        menu("dialled").replace("cluster=2", "cluster=4"),
+    ];
+    let mut clients: Vec<Client> = (0..4).map(|_| Client::connect(&pooler)).collect();
+    clients.iter_mut().zip(&asked).for_each(|(client, asked)| client.send(asked));
+    dialled.recv_timeout(PATIENCE).unwrap();
+    until(|| hangs.got().len() == 2);
+    pooler.counts(" taken=4 ");
+    // Told twice, and to read its configuration again in between.
+    ["TERM", "HUP", "TERM"].iter().for_each(|signal| pooler.signal(signal));
+    let codes: Vec<String> = clients.iter_mut().map(|client| client.answer().code.unwrap()).collect();
+    // What was written whole may have run; what waits, or has no connection yet, has not.
+    assert_eq!(codes, ["08007", "08007", "53300", "53300"]);
+    assert!(pooler.child.wait().unwrap().success());
+    assert!(dials.got().is_empty());
+    drop((open, hang));
+}
+
+// ---- Connections
+
+#[test]
+fn an_answer_that_is_there_goes_before_the_time_that_is_up() {
+    let slow = Slow::new("s-1");
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![slow.server.entry("up", "replica")]);
+    let mut client = Client::connect(&pooler);
+    let began = Instant::now();
+    client.send(&menu("1").replace("d=8000", "d=900"));
+    until(|| slow.server.got().len() == 1);
+    pooler.freeze();
+    slow.answer("row");
+    until(|| began.elapsed() > Duration::from_millis(1_000));
+    pooler.thaw();
+    assert_eq!(client.answer().value.as_deref(), Some(&b"done"[..]));
+    assert!(pooler.counters().contains(" outcome.ok=1 "));
+}
+
 // ---- Settings
 
 #[test]
