Crossings: peers wait until the other system has what was written, and has seen the end

On a busy machine what is written on loopback arrives after the call has returned: two of the tests failed in three runs of fifty with all cores busy, since the order that they meant to force was not forced. Now they wait for the acknowledgement (/proc/net/tcp).

--- a/crates/daemon/tests/crossings.rs
+++ b/crates/daemon/tests/crossings.rs
@@ -298,6 +298,7 @@
             }
             wire.put(b"I\0\0\0\x04Z\0\0\0\x05I");
             if proof {
+                wire.arrived();
                 let _ = end.send(());
             }
             true
@@ -339,6 +340,7 @@
             }
             // All that came along has been answered.
             if !wire.has_more() {
+                wire.arrived();
                 let _ = end.send(());
             }
             true
@@ -406,7 +408,7 @@
     until(|| slow.server.got().len() == 1);
     pooler.freeze();
     slow.answer("row");
-    drop(client);
+    client.0.leave();
     pooler.thaw();
     pooler.counts(" gone=1 ");
     assert_eq!(ids(&slow.server), ["1"]);
@@ -440,7 +442,7 @@
         if ids(&one.server).contains(&"1".to_owned()) { (&one, &two) } else { (&two, &one) };
     pooler.freeze();
     first.answer("53300");
-    drop(leaves);
+    leaves.0.leave();
     pooler.thaw();
     pooler.counts(" gone=1 ");
     assert!(!ids(&second.server).contains(&"1".to_owned()), "sent on though the client has left");
@@ -458,7 +460,7 @@
     // The proof and the client's end are found in the same poll.
     pooler.freeze();
     proof.answer();
-    drop(client);
+    client.0.leave();
     pooler.thaw();
     pooler.counts(" gone=1 ");
     assert_eq!(ids(&proof.server), ["1"]);
@@ -493,7 +495,7 @@
     pooler.freeze();
     go.send(()).unwrap();
     welcomed.recv_timeout(PATIENCE).unwrap();
-    drop(client);
+    client.0.leave();
     pooler.thaw();
     pooler.counts(" gone=1 ");
     assert!(!got.join().unwrap(), "something was sent on the new connection");
@@ -537,7 +539,7 @@
     let waits = (0..=ROOM).find(|at| !ids(&server).contains(&at.to_string())).unwrap();
     // The last room comes free and its client has left, in the same poll.
     pooler.freeze();
-    drop(clients.remove(waits));
+    clients.remove(waits).0.leave();
     drop(open);
     pooler.thaw();
     for client in &mut clients {
@@ -560,8 +562,9 @@
     pooler.counts(" taken=60 ");
     pooler.freeze();
     let mut half = clients.pop().unwrap();
-    half.0.stream.shutdown(std::net::Shutdown::Write).unwrap();
-    drop(clients);
+    let close = |client: &Client| client.0.stream.shutdown(std::net::Shutdown::Write).unwrap();
+    clients.iter().chain([&half]).for_each(close);
+    clients.into_iter().for_each(|client| client.0.leave());
     pooler.thaw();
     pooler.counts(" gone=60 ");
     assert!(half.0.message().is_none(), "who has closed its side has left, and is owed nothing");
--- a/crates/daemon/tests/peers/mod.rs
+++ b/crates/daemon/tests/peers/mod.rs
@@ -106,6 +106,40 @@
         self.put(&out);
     }
 
+    /// Waits until the other side's system has all that was written: on a busy machine it comes later than the call returns.
+    pub fn arrived(&self) {
+        self.stands(|_, unsent| unsent == 0);
+    }
+
+    /// Closes this side, once the other side's system knows that.
+    pub fn leave(self) {
+        self.stream.shutdown(std::net::Shutdown::Write).unwrap();
+        // FIN_WAIT2, or gone altogether.
+        self.stands(|state, _| state == 5);
+    }
+
+    /// Waits until the system's state of this connection, and the count of bytes that the other side has not acknowledged, are
+    /// such, or it knows it no more.
+    fn stands(&self, holds: impl Fn(u8, u32) -> bool) {
+        let port = |at: SocketAddr| format!(":{:04X}", at.port());
+        let own = port(self.stream.local_addr().unwrap());
+        // The other side may have reset it by now.
+        let Ok(other) = self.stream.peer_addr().map(port) else { return };
+        let end = std::time::Instant::now() + PATIENCE;
+        loop {
+            let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+            let line = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+            let line = line.into_iter().find(|of| of[1].ends_with(&own) && of[2].ends_with(&other));
+            let Some(line) = line else { return };
+            let unsent = line[4].split(':').next().unwrap();
+            if holds(u8::from_str_radix(line[3], 16).unwrap(), u32::from_str_radix(unsent, 16).unwrap()) {
+                return;
+            }
+            assert!(std::time::Instant::now() < end, "{line:?}");
+            std::thread::yield_now();
+        }
+    }
+
     /// Waits until the other side has closed.
     pub fn closed(&mut self) -> bool {
         while self.more() {}
