--- a/crates/core/src/backoff.rs
+++ b/crates/core/src/backoff.rs
@@ -2,9 +2,9 @@
 //!
 //! What is harmless alone takes the service down together. After 60 of 100 watches were reset at one moment, each pooler
 //! asked again at once and then at least every second; the service, busy with calls that had waited too long by the
-//! time it came to them, answered 503 to all of them for as long as the day lasted. So the pauses are jittered, and as
-//! long as the fleet is large: all poolers together ask so many times a second and no more, and half as often each
-//! time that the service says that it is overbooked.
+//! time it came to them, answered 503 to all of them for as long as the day lasted. So the pauses are jittered, and where
+//! the service refuses they are as long as the fleet is large: all poolers together ask so many times a second and no more,
+//! and half as often each time that it says that it is overbooked.
 //!
 //! But what an agent beside the pooler has counts as told whether or not a watch is open. With 300 poolers a watch that was
 //! reset stayed shut for up to 6 s, and requests went to servers that drained meanwhile. So nothing but a refusal makes the
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -330,6 +330,14 @@
         Known { started: known.started.max(returned), ..with_ban(known, self.planned.contains(&mark)) }
     }
 
+    /// Whether a claim from a list that is older than what is held would have somebody back who drains or is gone: that was
+    /// told since, unless the claim shows a later start.
+    #[must_use]
+    pub fn keeps_out(&self, claim: &Claim) -> bool {
+        let out = self.get(&claim.member).filter(|known| known.state != ListState::Healthy);
+        claim.state == ListState::Healthy && out.is_some_and(|known| claim.started <= known.started)
+    }
+
     /// Who is out by hand.
     pub fn banned(&self) -> impl Iterator<Item = &MemberId> {
         self.banned.iter()
--- a/crates/daemon/tests/peers/mod.rs
+++ b/crates/daemon/tests/peers/mod.rs
@@ -10,6 +10,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+/// A position that servers tell.
+pub const NOW_MS: &str = "1767225600123";
+
 /// No step of a story takes this long; it only keeps a broken one from hanging.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -244,6 +247,31 @@
     }
 }
 
+/// A server that answers everything with its own name.
+pub fn plain(id: &'static str, part: &'static str) -> Server {
+    Server::new(id, move |wire, statement| {
+        if statement.starts_with("SHOW") {
+            let role = u8::from(part == "master");
+            wire.row(format!("x0=1767225600.1,x1={role}").as_bytes(), part, NOW_MS);
+        } else {
+            wire.row(id.as_bytes(), part, NOW_MS);
+        }
+        true
+    })
+}
+
+/// A server that answers once the sender is dropped.
+pub fn held(id: &'static str) -> (Sender<()>, Server) {
+    let (open, opened) = channel::<()>();
+    let opened = Mutex::new(opened);
+    let server = Server::new(id, move |wire, _| {
+        assert!(opened.lock().unwrap().recv().is_err());
+        wire.row(id.as_bytes(), "replica", NOW_MS);
+        true
+    });
+    (open, server)
+}
+
 /// Discovery: each watch is announced by its request line, and then sends the lines given until told to end.
 pub struct Discovery {
     pub address: SocketAddr,
--- a/crates/net/src/discovery.rs
+++ b/crates/net/src/discovery.rs
@@ -97,7 +97,7 @@
         self.messages.set(number);
         let older = self.related.replace(true) && list.generation < self.newest.get();
         if older {
-            list.instances.retain(|server| self.feed.brings_back(&server.claim(number)) != Some(false));
+            list.instances.retain(|server| !self.feed.keeps_out(&server.claim(number)));
         }
         if whole || list.reset || !older {
             self.newest.set(list.generation);
@@ -108,7 +108,7 @@
 
 /// Follows discovery for ever, from the version that is known, with the pauses of `backoff`.
 pub async fn run(node: Follower, mut backoff: Backoff) {
-    let mut told = false;
+    let (mut told, mut last) = (false, None);
     loop {
         let (before, opened) = (node.newest.get(), Instant::now());
         let (moved, followed) = (node.source.moved.listen(), node.source.address.get());
@@ -116,6 +116,10 @@
             moved.await;
             continue;
         };
+        // Another source, whether it moved under a watch or in a pause: how its versions stand to the earlier ones is not known.
+        if last.replace(address).is_some_and(|last| last != address) {
+            node.related.set(false);
+        }
         node.counters.watches.add();
         // An old address may stay silent, and what the new one has to tell binds soon: the watch moves at once.
         let left = async {
@@ -136,8 +140,6 @@
             Err(_) => {}
         }
         if node.source.address.get() != followed {
-            // Another source: how its versions stand to those of the one before is not known.
-            node.related.set(false);
             continue;
         }
         let pause = duration(backoff.pause(why));
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -571,16 +571,21 @@
             if let Some(cut) = self.ended() {
                 return cut;
             }
-            let ending = self.life.ending.raised();
+            // What can't be waited for is given up: to look again at once would never end.
             let more = async {
                 if self.is_ahead() {
                     Timer::after(LOOK).await;
-                } else {
-                    // What fails here shows at the next look.
-                    let _ = self.stream.readable().await;
+                    return None;
                 }
+                self.stream.readable().await.is_err().then_some(Cut::ClientLeft)
             };
-            or(more, ending).await;
+            let ending = async {
+                self.life.ending.raised().await;
+                None
+            };
+            if let Some(cut) = or(more, ending).await {
+                return cut;
+            }
         }
     }
 }
--- a/crates/net/src/members.rs
+++ b/crates/net/src/members.rs
@@ -135,13 +135,10 @@
         self.members.0.borrow().banned().cloned().collect()
     }
 
-    /// Whether a claim would have somebody back who drains or is gone, and shows a later start of his; `None` if it would
-    /// have nobody back.
+    /// Whether a claim from an older list would have somebody back who is out.
     #[must_use]
-    pub fn brings_back(&self, claim: &Claim) -> Option<bool> {
-        let members = self.members.0.borrow();
-        let known = members.get(&claim.member).filter(|known| known.state != ListState::Healthy)?;
-        (claim.state == ListState::Healthy).then(|| claim.started > known.started)
+    pub fn keeps_out(&self, claim: &Claim) -> bool {
+        self.members.0.borrow().keeps_out(claim)
     }
 
     /// Takes news in and passes what it changes to the module at once.
