Attempts are waited for as long as the client waits, not until the aim

A read of a class without late worth was given up at its aim (send(): last = aim), while its work went on at the server (a cancel stops nothing on any of the five sites); refused after it, its client came again: the same work twice.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -412,14 +412,14 @@
         let class = &self.settings.classes[open.class];
         let pace = self.pace[open.class];
         let patience = pace.takes(OVERDUE).max(class.aim.times(LEAST_PATIENCE));
-        // Work past its last moment of worth only keeps others waiting; servers drop what has expired.
-        let last = if class.late_worth > 0.0 { open.deadline } else { open.aim };
+        // Until the client leaves: what is given up goes on at the member, and its client comes again.
+        let left = open.deadline - now;
         // Second tries stop where the whole group is slow: they would only add to it.
         let again = class.effect == Effect::Safe
             && now + patience + pace.takes(0.0) < open.aim
             && self.crowding(now, m.group, m.role()) < CROWDED;
         let hedged = again && self.settings.second_copies;
-        let timeout = if again && !hedged && self.retries >= 1.0 { patience } else { last - now };
+        let timeout = if again && !hedged && self.retries >= 1.0 { patience } else { left };
         let due = if hedged { now + patience } else { open.deadline };
         self.set_due(id, due);
         let Some((open, m)) = self.open.get_mut(&id).zip(self.members.get_mut(&member)) else { return };
@@ -427,7 +427,7 @@
         open.attempts.push(Attempt { member: member.clone(), open: true, errored: false });
         m.out.insert((id, attempt), Out { sent: now, class: open.class, session: open.session, need });
         m.cold.sent(now, usual, &self.settings);
-        actions.push(Action::Send { request: id, member, timeout: timeout.min(last - now) });
+        actions.push(Action::Send { request: id, member, timeout: timeout.min(left) });
     }
 
     fn set_due(&mut self, id: RequestId, at: Time) {
