Settings: each key stands in a schema as read or not, and a test holds it to the decoders

Need: settings that the platform sends and nothing read went unseen (queue, the worst window and tenant, all costs but the peers').

Change: core/settings/schema.rs lists every key with Read, Decoded (read, then nothing goes by it: Rules.Fall) or Unread, with the reason; `not yet` marks findings. Pairs notes the keys that decoders ask for, and says which keys of a configuration are unknown and which are known and unused, fields of load reports one by one. net/config.rs names the three settings that it puts aside (Discovery, FamilyInfo.Zero, Limits.MayDuplicate) and says what of a configuration has no effect. No setting is decoded otherwise than before.

--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -1,9 +1,13 @@
 //! The settings, decoded once for both hosts: the simulator sends them as path=value pairs, the daemon's
 //! configuration holds the same object as nested JSON, which is laid out as such pairs first.
 
+pub mod schema;
+
 use crate::interface::*;
+use schema::{Key, Usage};
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What was read, or in words why it could not be.
 pub type Parsed<T> = Result<T, String>;
@@ -15,14 +19,28 @@
 }
 
 /// The settings as path=value pairs.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Pairs(BTreeMap<String, String>);
+#[derive(Clone, Debug, Default)]
+pub struct Pairs {
+    values: BTreeMap<String, String>,
+    /// The keys that were asked for, there or not.
+    asked: RefCell<BTreeSet<String>>,
+}
+
+/// A setting that a configuration has and nothing goes by.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Unused {
+    /// Its path; `*` stands for the number of an item of a list.
+    pub path: String,
+    /// Why nothing goes by it.
+    pub why: &'static str,
+}
 
 impl Pairs {
     /// From the parts of a line; what is no pair is passed over.
     pub fn from_parts<'a>(parts: impl Iterator<Item = &'a str>) -> Self {
         let pairs = parts.filter_map(|pair| pair.split_once('='));
-        Self(pairs.map(|(path, value)| (path.to_owned(), value.to_owned())).collect())
+        let values = pairs.map(|(path, value)| (path.to_owned(), value.to_owned())).collect();
+        Self { values, ..Self::default() }
     }
 
     /// From nested JSON: lists of plain values are joined by commas, those of objects are counted and numbered.
@@ -43,19 +61,19 @@
                 }
             }
             Value::Array(items) if items.iter().any(Value::is_object) => {
-                self.0.insert(below("count"), items.len().to_string());
+                self.values.insert(below("count"), items.len().to_string());
                 for (at, item) in items.iter().enumerate() {
                     self.lay_out(&below(&at.to_string()), item);
                 }
             }
             Value::Array(items) => {
                 let items: Vec<String> = items.iter().map(plain).collect();
-                self.0.insert(path.to_owned(), items.join(","));
+                self.values.insert(path.to_owned(), items.join(","));
             }
             // Only in lists must commas and spaces not stand: a class is named by its clients as it is here.
             _ => {
                 let text = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
-                self.0.insert(path.to_owned(), text);
+                self.values.insert(path.to_owned(), text);
             }
         }
     }
@@ -75,7 +93,7 @@
     ///
     /// When there is none.
     pub fn text(&self, key: &str) -> Parsed<&str> {
-        self.0.get(key).map(String::as_str).ok_or_else(|| format!("setting {key} is missing"))
+        self.get(key).ok_or_else(|| format!("setting {key} is missing"))
     }
 
     /// The number at `key`.
@@ -95,7 +113,50 @@
     ///
     /// When it is no finite number.
     pub fn number_or(&self, key: &str, absent: f64) -> Parsed<f64> {
-        if self.0.contains_key(key) { self.number(key) } else { Ok(absent) }
+        if self.get(key).is_some() { self.number(key) } else { Ok(absent) }
+    }
+
+    fn get(&self, key: &str) -> Option<&str> {
+        let mut asked = self.asked.borrow_mut();
+        if !asked.contains(key) {
+            asked.insert(key.to_owned());
+        }
+        self.values.get(key).map(String::as_str)
+    }
+
+    /// The keys that were asked for so far, whether they were there or not.
+    #[must_use]
+    pub fn asked(&self) -> BTreeSet<String> {
+        self.asked.borrow().clone()
+    }
+
+    /// The keys that are there.
+    pub fn keys(&self) -> impl Iterator<Item = &str> {
+        self.values.keys().map(String::as_str)
+    }
+
+    /// The keys that the schema does not know.
+    #[must_use]
+    pub fn unknown(&self) -> Vec<&str> {
+        self.keys().filter(|path| Key::of(path).is_none()).collect()
+    }
+
+    /// The settings that are there and known, and that nothing goes by: those of a list's items once for all of them, and each
+    /// field of a load report by itself.
+    #[must_use]
+    pub fn unused(&self) -> Vec<Unused> {
+        let known = self.keys().filter_map(Key::of);
+        let keys = known.filter_map(|key| match key.usage {
+            Usage::Read => None,
+            Usage::Decoded(why) | Usage::Unread(why) => Some(Unused { path: key.path.to_owned(), why }),
+        });
+        let fields = self.values.get("Report.Fields").map_or("", String::as_str).split(',');
+        let fields = fields.filter(|name| !name.is_empty() && Field::named(name) == Field::Other);
+        let fields = fields.map(|name| Unused {
+            path: format!("Report.Fields {name}"),
+            why: "no decision goes by this field of a report",
+        });
+        keys.chain(fields).collect::<BTreeSet<_>>().into_iter().collect()
     }
 
     fn flag(&self, key: &str) -> Parsed<bool> {
--- a/crates/net/src/config.rs
+++ b/crates/net/src/config.rs
@@ -2,7 +2,7 @@
 //! Keys that mean nothing here are ignored.
 
 use linnetdeal_core::membership::{Claim, Evidence, News};
-use linnetdeal_core::settings::{Pairs, span};
+use linnetdeal_core::settings::{Pairs, Unused, span};
 use linnetdeal_core::*;
 use serde::Deserialize;
 use serde_json::Value;
@@ -14,6 +14,13 @@
 /// With fewer descriptors there are none for clients and servers beside those that the process itself needs.
 const LEAST_SOCKETS: usize = 16;
 
+/// Settings that this host puts aside, whatever they say, and why. `Config::decode` does so.
+pub const PUT_ASIDE: [(&str, &str); 3] = [
+    ("Discovery", "the list is watched, whoever says that it is pushed or asked for"),
+    ("FamilyInfo.Zero", "positions on sockets are Unix times"),
+    ("Limits.MayDuplicate", "on sockets one attempt of a request is out at a time"),
+];
+
 /// Why the configuration can't be used.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -93,6 +100,15 @@
     pub report: Vec<(String, Field)>,
 }
 
+/// What of a configuration's settings has no effect on this program.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct NoEffect {
+    /// Known settings that nothing goes by.
+    pub unused: Vec<Unused>,
+    /// Keys that no schema names.
+    pub unknown: Vec<String>,
+}
+
 #[derive(Deserialize)]
 struct File {
     #[serde(default)]
@@ -161,9 +177,7 @@
     /// When it is not what `DEPLOY` describes, or a setting is missing or unreadable.
     pub fn decode(text: &str) -> Result<Self, ConfigError> {
         let file: File = serde_json::from_str(text)?;
-        let pairs = Pairs::from_json(&file.settings);
-        let mut settings = pairs.settings().map_err(ConfigError::Settings)?;
-        let host = HostSettings::decode(&pairs).map_err(ConfigError::Settings)?;
+        let (mut settings, host) = decode_settings(&Pairs::from_json(&file.settings))?;
         if settings.max_attempts == 0 {
             return Err(ConfigError::Settings("setting Limits.SendCap is not above 0".to_owned()));
         }
@@ -171,7 +185,7 @@
             let words = format!("limits.sockets {} is under {LEAST_SOCKETS}", file.limits.sockets);
             return Err(ConfigError::Settings(words));
         }
-        // Positions on sockets are Unix times, and so is the clock of this host.
+        // The three of `PUT_ASIDE`. Positions on sockets are Unix times, and so is the clock of this host.
         settings.zero = Time(0);
         // This host keeps the list followed by itself, and one attempt of a request out at a time.
         settings.discovery = Discovery::Push;
@@ -215,6 +229,44 @@
     }
 }
 
+impl NoEffect {
+    /// Of the configuration at `path`.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be read or is no configuration.
+    pub fn load(path: &Path) -> Result<Self, ConfigError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| ConfigError::Read { path: path.display().to_string(), error })?;
+        Self::of(&text)
+    }
+
+    /// Of a configuration.
+    ///
+    /// # Errors
+    ///
+    /// When it is no configuration.
+    pub fn of(text: &str) -> Result<Self, ConfigError> {
+        let file: File = serde_json::from_str(text)?;
+        let pairs = Pairs::from_json(&file.settings);
+        let mut unused = pairs.unused();
+        let aside = PUT_ASIDE.into_iter().filter(|(path, _)| pairs.keys().any(|key| key == *path));
+        unused.extend(aside.map(|(path, why)| Unused { path: path.to_owned(), why }));
+        unused.sort();
+        Ok(Self { unused, unknown: pairs.unknown().into_iter().map(str::to_owned).collect() })
+    }
+}
+
+/// What the module is told and what the sockets are, as the pairs have it.
+///
+/// # Errors
+///
+/// When a setting is missing or unreadable.
+pub fn decode_settings(pairs: &Pairs) -> Result<(Settings, HostSettings), ConfigError> {
+    let settings = pairs.settings().map_err(ConfigError::Settings)?;
+    Ok((settings, HostSettings::decode(pairs).map_err(ConfigError::Settings)?))
+}
+
 impl HostSettings {
     fn decode(pairs: &Pairs) -> Result<Self, String> {
         let time = |key: &str, absent| Ok::<_, String>(duration(span(pairs.number_or(key, absent)?)));
