check: says which settings of a configuration have no effect, and which are not known

Need: whoever takes on a deployment could not see which of the platform's settings the program goes by.

Information only: exit codes and standard error are as before, and a configuration that can't be used is told as before, with nothing beside it.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -9,7 +9,7 @@
 use clap::{Args, Parser, Subcommand};
 use linnetdeal_core::{Expected, Span};
 use linnetdeal_net::Pooler;
-use linnetdeal_net::config::Config;
+use linnetdeal_net::config::{Config, NoEffect};
 use linnetdeal_operator::{ChangeSettings, Operator};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -32,7 +32,7 @@
 enum Command {
     /// Serve, in the foreground. This is what happens without a command, too.
     Run(Files),
-    /// Read the files that a start would read, and say all that is wrong with them.
+    /// Read the files that a start would read, and say all that is wrong with them, and which settings have no effect.
     Check {
         /// An operator's file.
         file: Option<PathBuf>,
@@ -181,7 +181,17 @@
         }
     }
     if let Some(path) = &config {
-        wrong.extend(Config::load(path).err().map(|error| error.to_string()));
+        match Config::load(path).and_then(|_| NoEffect::load(path)) {
+            Ok(settings) => print!("{}", no_effect(&settings)),
+            Err(error) => wrong.push(error.to_string()),
+        }
     }
     if wrong.is_empty() { Ok(()) } else { Err(End { code: BAD_CONFIG, words: wrong.join("\n") }) }
 }
+
+/// A line for each setting that has no effect; none of them is a fault.
+fn no_effect(settings: &NoEffect) -> String {
+    let unused = settings.unused.iter().map(|of| format!("not used: {}: {}\n", of.path, of.why));
+    let unknown = settings.unknown.iter().map(|path| format!("not known: {path}\n"));
+    unused.chain(unknown).collect()
+}
--- a/crates/daemon/tests/registry.rs
+++ b/crates/daemon/tests/registry.rs
@@ -231,3 +231,33 @@
     let (_, out, _) = run(&["members", "--operator", good.path()]);
     assert!(out.starts_with("MEMBER") && out.lines().count() == 3, "{out}");
 }
+
+#[test]
+fn check_tells_which_settings_have_no_effect_and_finds_no_fault_in_them() {
+    let mut config = json!({"listen": "127.0.0.1:0", "settings": linnetdeal_lab::pooler::settings()});
+    let settings = &mut config["settings"];
+    settings["WorthBy"] = "work".into();
+    settings["Limits"]["MayDuplicate"] = true.into();
+    settings["Report"] = json!({"Fields": ["x0", "eps"], "How": "probe"});
+    settings["Weather"] = json!({"Wind": 3});
+    let held = Held::new("settings.json", &config.to_string());
+    let (code, out, words) = run(&["check", "--config", held.path()]);
+    assert_eq!((code, words.as_str()), (Some(0), ""));
+    for (path, why) in [
+        ("WorthBy", "worth"),
+        ("Limits.MayDuplicate", "one attempt"),
+        ("Report.Fields eps", "no decision"),
+        ("Report.How", "wherever it comes"),
+    ] {
+        let told = |line: &str| line.starts_with(&format!("not used: {path}: ")) && line.contains(why);
+        assert_eq!(out.lines().filter(|line| told(line)).count(), 1, "{path}: {out}");
+    }
+    assert!(out.lines().any(|line| line == "not known: Weather.Wind"), "{out}");
+    assert!(!out.contains("Lanes.count") && !out.contains("SendCap"), "{out}");
+
+    // A file that can't be used is told as before, and nothing beside it.
+    config["settings"]["Limits"]["SendCap"] = 0.into();
+    let held = Held::new("useless.json", &config.to_string());
+    let (code, out, words) = run(&["check", "--config", held.path()]);
+    assert!(code == Some(78) && out.is_empty() && words.contains("Limits.SendCap"), "{out}{words}");
+}
