The pooler tells the module whose a request is, and what its client marks as a retry

Every request on sockets reached the module without a tenant: request.rs set none and nothing read t of the comment, so that shares (Tenants, OverShareWorth) decided nothing there. The simulator's adapter passed the tenant on, but not the mark of a retry.

- pg/comment.rs reads t and r; net/tenants.rs knows the present settings' tenants by name.
One that they don't name is none: it counts in nobody's share.
- Request has retry (Attrs bit 2 on the simulator's wire).
Nothing decides by it yet.

Measured: the new story of two tenants fails without the tenant in request.rs (the small one's request, the last of 21, is not among the first 16 sent) and passes with it. Attrs bit 2 has no test: no action depends on it.

--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -345,7 +345,7 @@
     pub id: RequestId,
     /// Its class.
     pub class: ClassId,
-    /// Its tenant.
+    /// Its tenant; `None` for one that the settings don't name. Such a request counts in nobody's share.
     pub tenant: Option<TenantId>,
     /// Its session.
     pub session: Option<SessionKey>,
@@ -357,6 +357,8 @@
     pub last_write: Option<Span>,
     /// The expected work, where it is known.
     pub cost: Option<Span>,
+    /// Its client marks it as a retry of an earlier one; never where clients mark none.
+    pub retry: bool,
 }
 
 /// What a member said of its role.
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -125,6 +125,7 @@
             group: GroupId(0),
             last_write: None,
             cost: None,
+            retry: false,
         };
         (id, self.tell(Event::Request(request)))
     }
--- a/crates/core/tests/mechanism.rs
+++ b/crates/core/tests/mechanism.rs
@@ -173,6 +173,7 @@
         group: GroupId(0),
         last_write: Some(Span::millis(100)),
         cost: None,
+        retry: false,
     };
     assert_eq!(sends(&host.tell(Event::Request(request))), [member(2)]);
 }
--- a/crates/core/tests/properties.rs
+++ b/crates/core/tests/properties.rs
@@ -91,6 +91,7 @@
                     group,
                     last_write: None,
                     cost: None,
+                    retry: false,
                 }));
             }
             Step::End { pick, verdict, role, back } => {
--- a/crates/core/tests/retune.rs
+++ b/crates/core/tests/retune.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use linnetdeal_core::retune::{MOST_CLASSES, merge};
+use linnetdeal_core::retune::{MOST_CLASSES, MOST_TENANTS, merge, merge_tenants};
 use linnetdeal_core::*;
 
 #[test]
@@ -20,6 +20,21 @@
     assert!(merge(&held, &many).is_none() && merge(&[], &many).is_some());
 }
 
+#[test]
+fn a_tenant_keeps_its_number_under_any_share_and_place() {
+    let tenant = |name: &str, quota: f64| Tenant { name: name.to_owned(), quota };
+    let held = [tenant("a", 5.0), tenant("b", 6.0)];
+    let (all, numbers) = merge_tenants(&held, &[tenant("c", 1.0), tenant("b", 2.0)]).unwrap();
+    // Whom the new settings don't name has no share any more; its open requests still have a number.
+    assert_eq!(all, [tenant("a", 0.0), tenant("b", 2.0), tenant("c", 1.0)]);
+    assert_eq!(numbers, [TenantId(2), TenantId(1)]);
+    let (all, numbers) = merge_tenants(&all, &held).unwrap();
+    assert_eq!(all, [tenant("a", 5.0), tenant("b", 6.0), tenant("c", 0.0)]);
+    assert_eq!(numbers, [TenantId(0), TenantId(1)]);
+    let many: Vec<_> = (0..MOST_TENANTS).map(|at| tenant(&at.to_string(), 1.0)).collect();
+    assert!(merge_tenants(&held, &many).is_none() && merge_tenants(&[], &many).is_some());
+}
+
 #[test]
 fn an_open_request_keeps_its_class_and_its_attempts_and_a_new_one_has_the_new_ones() {
     let mut host = Host::new(settings(), 5);
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -2,7 +2,7 @@
 
 mod peers;
 use peers::*;
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::path::PathBuf;
@@ -1066,3 +1066,45 @@
     newer.signal("TERM");
     assert!(newer.child.wait().unwrap().success());
 }
+
+#[test]
+fn what_a_tenant_asks_beyond_its_share_waits_behind_what_others_ask_within_theirs() {
+    let (open, first) = held("s-1");
+    let (open_too, second) = held("s-2");
+    let discovery = Discovery::new();
+    let site = |tenants: Value| {
+        let mut config: Value = serde_json::from_str(&config(&discovery, Vec::new(), 1_024)).unwrap();
+        config["settings"]["Tenants"] = tenants;
+        config["settings"]["OverShareWorth"] = 0.1.into();
+        config.to_string().replace("9000.0", "60000.0")
+    };
+    let share = |name: &str| json!({"Name": name, "QuotaRps": 5.0});
+    let pooler = Pooler::on(&site(json!([share("large"), share("small & sons")])));
+    let (_, watch) = discovery.watch();
+    let mut waiting = Vec::new();
+    // A server takes 16 at a time. In the second round the settings have the same tenants in other places, with another.
+    for (cluster, server, taken) in [(2, &first, 21), (3, &second, 42)] {
+        let mut ask = |tenant: &str| {
+            let mut client = Client::connect(&pooler);
+            let whose = format!("d=60000,t={tenant},cluster={cluster}");
+            let id = format!("{cluster}-{}", waiting.len());
+            client.send(&menu(&id).replace("d=8000,cluster=2", &whose));
+            waiting.push(client);
+        };
+        (0..20).for_each(|_| ask("large"));
+        ask("small & sons");
+        pooler.counts(&format!(" taken={taken} "));
+        let mut entry = server.entry("up", "replica");
+        entry["cell"] = cluster.into();
+        watch.send(Some(list(40 + cluster, false, vec![entry]))).unwrap();
+        while server.got().len() < 16 {
+            std::thread::yield_now();
+        }
+        let small = server.got().iter().filter(|got| got.contains("t=small & sons")).count();
+        assert_eq!(small, 1, "the last to come is among the first to be sent: {:?}", server.got());
+        pooler.configure(&site(json!([share("new"), share("small & sons"), share("large")])));
+        pooler.signal("HUP");
+        pooler.logged("configuration read again");
+    }
+    drop((open, open_too));
+}
--- a/crates/fleet/src/sim.rs
+++ b/crates/fleet/src/sim.rs
@@ -460,6 +460,7 @@
                 group: GroupId(i64::from(of.group)),
                 last_write: None,
                 cost: None,
+                retry: false,
             }),
         );
     }
--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -406,6 +406,7 @@
                     group: GroupId(1),
                     last_write: None,
                     cost: None,
+                    retry: false,
                 };
                 world.feed(router, Event::Request(ask));
             }
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -4,6 +4,7 @@
 use super::classes::Classes;
 use super::clock::Clock;
 use super::counters::Counters;
+use super::tenants::Tenants;
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future::{or, poll_fn};
@@ -120,13 +121,23 @@
         }
     }
 
-    /// Goes by these settings from now on, and gives all classes with the numbers of the present ones; false, with nothing
-    /// changed, if there are too many by now.
-    pub fn retune(&self, mut settings: Settings, classes: &Classes, longest_deadline: Duration) -> bool {
-        let merged = linnetdeal_core::retune::merge(self.router.borrow().classes(), &settings.classes);
+    /// Goes by these settings from now on, and gives all classes and tenants with the numbers of the present ones; false,
+    /// with nothing changed, if there are too many by now.
+    pub fn retune(
+        &self,
+        mut settings: Settings,
+        classes: &Classes,
+        tenants: &Tenants,
+        longest_deadline: Duration,
+    ) -> bool {
+        let merged = retune::merge(self.router.borrow().classes(), &settings.classes);
         let Some((all, present)) = merged else { return false };
+        let Some((shares, named)) = retune::merge_tenants(&tenants.all(), &settings.tenants) else {
+            return false;
+        };
         classes.set(&all, present, longest_deadline);
-        settings.classes = all;
+        tenants.set(&shares, named);
+        (settings.classes, settings.tenants) = (all, shares);
         self.router.borrow_mut().retune(settings);
         true
     }
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -11,6 +11,7 @@
 use crate::doubts::Doubts;
 use crate::driver::Driver;
 use crate::life::Life;
+use crate::tenants::Tenants;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future::{or, yield_now};
@@ -98,6 +99,8 @@
     pub(crate) seats: Rc<Seats>,
     /// The classes.
     pub(crate) classes: Rc<Classes>,
+    /// The tenants.
+    pub(crate) tenants: Rc<Tenants>,
     /// Writes whose outcome nobody knows.
     pub(crate) doubts: Rc<Doubts>,
     /// The clients' ids of the requests that are open: at most one a connection.
@@ -633,10 +636,12 @@
         });
         Some(Asked {
             class,
+            tenant: comment.tenant.and_then(|name| self.tenants.named(name)),
             session,
             group: GroupId(comment.cluster),
             deadline: self.driver.clock.now() + Span((comment.wait_ms * 1_000.0) as i64).min(longest),
             last_write: comment.after_ms.map(|ms| Time((ms * 1_000.0) as i64)),
+            retry: comment.retry,
             query: (),
         })
     }
@@ -644,7 +649,7 @@
 
 impl Asked<()> {
     fn with(self, query: Statement) -> Asked<Statement> {
-        let Self { class, session, group, deadline, last_write, .. } = self;
-        Asked { class, session, group, deadline, last_write, query }
+        let Self { class, tenant, session, group, deadline, last_write, retry, query: () } = self;
+        Asked { class, tenant, session, group, deadline, last_write, retry, query }
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod seats;
 pub mod signals;
 pub mod succession;
+pub mod tenants;
 pub mod upstream;
 pub mod work;
 
@@ -52,6 +53,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use succession::Shared;
+use tenants::Tenants;
 use upstream::Pool;
 use work::{WorkWanted, Works};
 
@@ -100,6 +102,9 @@
         let classes = Rc::new(classes::Classes::default());
         let present = (0..config.settings.classes.len()).map(linnetdeal_core::ClassId).collect();
         classes.set(&config.settings.classes, present, config.host.longest_deadline);
+        let tenants = Rc::new(Tenants::default());
+        let present = (0..config.settings.tenants.len()).map(linnetdeal_core::TenantId).collect();
+        tenants.set(&config.settings.tenants, present);
         tracing::debug!(target: "settings", "{:?}", config.settings);
         let backoff = Backoff::new(config.seed, config.settings.fleet, config.settings.drain_grace);
         let (checks, report) = (config.settings.checks != Checks::None, config.settings.report.clone());
@@ -181,6 +186,7 @@
             config_file,
             shared: shared.clone(),
             classes: classes.clone(),
+            tenants: tenants.clone(),
             driver: driver.clone(),
         };
         let door = frontend::Door {
@@ -191,6 +197,7 @@
             life: life.clone(),
             seats,
             classes,
+            tenants,
             doubts,
             open_ids: RefCell::default(),
             scratch: RefCell::new(vec![0; SCRATCH]),
--- a/crates/net/src/pg/comment.rs
+++ b/crates/net/src/pg/comment.rs
@@ -13,6 +13,10 @@
     pub id: &'a str,
     /// The class.
     pub class: &'a str,
+    /// The tenant.
+    pub tenant: Option<&'a str>,
+    /// Its client marks it as a retry.
+    pub retry: bool,
     /// How long the client waits, in milliseconds.
     pub wait_ms: f64,
     /// Where that number stands in the statement: it is rewritten for each attempt.
@@ -64,6 +68,7 @@
 
 fn comment(statement: &str, inner: Range<usize>) -> Result<Comment<'_>, PgError> {
     let (mut id, mut class, mut wait, mut cluster, mut after_ms) = (None, None, None, None, None);
+    let (mut tenant, mut retry) = (None, false);
     let mut at = inner.start;
     for pair in statement[inner].split(',') {
         let (name, value) = pair.split_once('=').ok_or(PgError::Malformed("request comment"))?;
@@ -73,6 +78,8 @@
         match name.trim() {
             "id" => id = Some(value).filter(|id| is_id(id)),
             "c" => class = Some(value),
+            "t" => tenant = Some(value),
+            "r" => retry = value == "1",
             "d" => wait = Some((value, from..from + value.len())),
             "cluster" => cluster = Some(value),
             "after" => after_ms = value.parse().ok(),
@@ -86,7 +93,7 @@
     let wait_ms = wait.parse().ok().filter(|ms| plain && (0.0..1e9).contains(ms)).ok_or(missing)?;
     let cluster = cluster.map_or(Ok(0), str::parse).map_err(|_| missing)?;
     let (id, class) = (id.ok_or(missing)?, class.ok_or(missing)?);
-    Ok(Comment { id, class, wait_ms, wait_at, cluster, after_ms })
+    Ok(Comment { id, class, tenant, retry, wait_ms, wait_at, cluster, after_ms })
 }
 
 /// Whether a client's id of a request can be one.
--- a/crates/net/src/request.rs
+++ b/crates/net/src/request.rs
@@ -65,6 +65,8 @@
 pub struct Asked<Q> {
     /// Its class.
     pub class: ClassId,
+    /// Its tenant, if the settings name it.
+    pub tenant: Option<TenantId>,
     /// Its session, in classes that have them.
     pub session: Option<SessionKey>,
     /// Its group.
@@ -73,6 +75,8 @@
     pub deadline: Time,
     /// When its session last committed, where clients say so.
     pub last_write: Option<Time>,
+    /// Its client marks it as a retry.
+    pub retry: bool,
     /// What is sent to a member.
     pub query: Q,
 }
@@ -123,12 +127,13 @@
     let ticket = driver.take(|id, now| Request {
         id,
         class: asked.class,
-        tenant: None,
+        tenant: asked.tenant,
         session: asked.session,
         left: asked.deadline - now,
         group: asked.group,
         last_write: asked.last_write.map(|at| now - at),
         cost: None,
+        retry: asked.retry,
     });
     loop {
         // It orders an attempt or the final answer, or lets the request wait.
--- a/crates/net/src/signals.rs
+++ b/crates/net/src/signals.rs
@@ -8,6 +8,7 @@
 use crate::life::Life;
 use crate::seats::Seats;
 use crate::succession::Shared;
+use crate::tenants::Tenants;
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
@@ -40,6 +41,8 @@
     pub(crate) shared: Option<Rc<Shared>>,
     /// The classes, by the present settings.
     pub(crate) classes: Rc<Classes>,
+    /// The tenants, by the present settings.
+    pub(crate) tenants: Rc<Tenants>,
     /// The module.
     pub(crate) driver: Rc<Driver>,
 }
@@ -80,9 +83,9 @@
     match Config::load(&handler.config_file) {
         Ok(config) => {
             let (settings, longest) = (config.settings, config.host.longest_deadline);
-            if !handler.driver.retune(settings, &handler.classes, longest) {
+            if !handler.driver.retune(settings, &handler.classes, &handler.tenants, longest) {
                 tracing::warn!(
-                    "configuration kept as it was: more classes than can be held beside the earlier ones"
+                    "configuration kept as it was: more classes or tenants than can be held beside the earlier ones"
                 );
                 return;
             }
--- a/crates/net/tests/parsers.rs
+++ b/crates/net/tests/parsers.rs
@@ -80,6 +80,17 @@
     }
 }
 
+#[test]
+fn a_request_comment_tells_whose_it_is_and_what_its_client_marks_as_a_retry() {
+    let told = |more: &str| match pg::request(&format!("SELECT 1 /* id=9b,c=menu{more},d=480 */")) {
+        Ok(pg::Asks::Request(comment)) => (comment.tenant.map(str::to_owned), comment.retry),
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(told(""), (None, false));
+    assert_eq!(told(", t = acme & sons ,r=1"), (Some("acme & sons".to_owned()), true));
+    assert_eq!(told(",r=0,t="), (Some(String::new()), false));
+}
+
 #[test]
 fn two_processes_share_who_is_out_by_hand_and_which_is_the_newest() {
     use linnetdeal_core::MemberId;
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -183,6 +183,7 @@
                 group,
                 last_write: last_write.filter(|ms| *ms > 0.0).map(span),
                 cost: cost.filter(|_| bits & 1 != 0).map(span),
+                retry: bits & 2 != 0,
             })
         }
         "vanished" => Event::Gone(RequestId(parts.integer("Job")?)),
