Retries of clients give way to first tries where replicas are crowded

So it is the retries of what was refused or late: a client's wait counts from its first try, so that they are hardly ever in time, and what they take of the servers is taken from first tries. Change: choice.rs, place(): a read that its client marks as a retry is refused at once, with its time to come back, where the group's replicas are crowded (from CROWD_SPILLS, the mark of crowded replicas that stood already); elsewhere it is served like any other. Writes come again only if they never ran, and are served. The new test fails without the condition.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -57,14 +57,12 @@
 /// A request that this many members answered with an error is at fault itself; it harms no member.
 const FUTILE_ERRORS: usize = 2;
 /// Concurrency limit at a member: the first (over all routers) and the least for one router, what a sign of
-/// crowding leaves of it, the part in use from which it grows and the most that it grows by, as a part of
-/// itself, and the part of a primary's that reads fill.
+/// crowding leaves of it, the part in use from which it grows, and the part of a primary's that reads fill.
 const FIRST_LIMIT: f64 = 16.0;
 const LEAST_FIRST_LIMIT: f64 = 1.5;
 const LEAST_LIMIT: f64 = 1.0;
 const LIMIT_CUT: f64 = 0.7;
 const LIMIT_USED: f64 = 0.7;
-const LIMIT_GROWTH: f64 = 0.5;
 const PRIMARY_SHARE: f64 = 0.5;
 /// The same where members check their reads and all replicas lag.
 const LAGGING_SHARE: f64 = 0.8;
@@ -82,11 +80,8 @@
 /// Second tries that each request brings to the retry budget, and the most that it holds.
 const RETRY_GAIN: f64 = 0.1;
 const RETRY_MOST: f64 = 10.0;
-/// Load: the most that an attempt out counts, and what illness counts.
+/// Load: the most that an attempt out counts.
 const LONGEST_WAIT: f64 = 4.0;
-const ILL_COUNTS: f64 = 4.0;
-/// A class this close to the worst served counts as it.
-const NEAR_WORST: f64 = 0.02;
 /// The least retry-after (at once would add to a crowd), and when a failed call for the list is made again.
 const LEAST_RETRY_AFTER: Span = Span::millis(100);
 const ASK_AGAIN: Span = Span::millis(1_000);
@@ -273,6 +268,7 @@
             group: request.group,
             session: request.session,
             token,
+            retry: request.retry,
             arrived: now,
             aim: (now + class.aim + stretch).min(deadline),
             deadline,
@@ -299,21 +295,24 @@
         // A read with less time left than an answer takes only keeps others waiting.
         let last = if class.late_worth > 0.0 { open.deadline } else { open.aim };
         let takes = self.pace[open.class].takes(SURE);
-        let jam = self.crowding(now, open.group, REPLICA) > HOPELESS_CROWD && chance < HOPELESS_NEW;
+        let (first, crowding) = (open.attempts.is_empty(), self.crowding(now, open.group, REPLICA));
+        let jam = crowding > HOPELESS_CROWD && chance < HOPELESS_NEW;
+        // Its worth began to run out with its client's first try: it must not crowd out those that are.
+        let again = open.retry && first && class.effect == Effect::Safe && crowding > CROWD_SPILLS;
         let waited = jam || now > open.arrived;
         // One never sent keeps its client from trying elsewhere: it is told while half its time is left.
-        let old = open.attempts.is_empty() && now - open.arrived > (open.deadline - open.arrived).times(HELD);
+        let old = first && now - open.arrived > (open.deadline - open.arrived).times(HELD);
         // A write is held while there is no primary. At a crowded one it would go out too late to be
         // answered, with those behind it as late.
         let change = self.change(open);
         let held = class.need == Need::Write && change.is_none_or(|change| change.phase() != Phase::Settled);
         let hopeless = !held && waited && (old || now + takes >= last);
         let vain = change.is_some_and(|change| change.in_vain(open.deadline, &self.lengths));
-        if spent || ran || hopeless || vain || now + SWEEP >= open.deadline {
+        if spent || ran || again || hopeless || vain || now + SWEEP >= open.deadline {
             self.give_up(now, id, actions);
             return;
         }
-        let new = open.attempts.is_empty() && now == open.arrived;
+        let new = first && now == open.arrived;
         let (key, gid) = ((open.arrived, id), open.group);
         let to = match class.need {
             Need::Write => self.place_write(now, id, actions),
@@ -688,7 +687,7 @@
                 } else {
                     m.cold.answered();
                     let used = work + 1.0 >= m.limit * LIMIT_USED;
-                    m.limit += if used { (1.0 / m.limit).min(m.limit * LIMIT_GROWTH) } else { 0.0 };
+                    m.limit += if used { 1.0 / m.limit } else { 0.0 };
                 }
                 self.served.add(now, MEMORY, [0.0, 1.0]);
                 m.heal(1);
@@ -761,7 +760,7 @@
         };
         let out: f64 = m.out.values().map(waits).sum();
         let left = self.in_work(m, now) - self.live(m, now);
-        (1.0 + out + left) * m.slow.now(now) * (1.0 + ILL_COUNTS * m.ill)
+        (1.0 + out + left) * m.slow.now(now)
     }
 
     fn suspect(&self, m: &Member, now: Time) -> bool {
@@ -927,7 +926,7 @@
         let worst = self.classes.iter().map(share).fold(f64::MAX, f64::min);
         let all: f64 = self.classes.iter().map(|t| t.now(now, MEMORY)[1]).sum();
         let mine = self.classes[class].now(now, MEMORY)[1];
-        let starved = mine > 0.0 && share(&self.classes[class]) <= worst + NEAR_WORST;
+        let starved = mine > 0.0 && share(&self.classes[class]) <= worst;
         let more = if starved { goal.worst_class / goal.whole.max(f64::EPSILON) * all / mine } else { 0.0 };
         classes[class].worth / self.pace[class].mean.max(1.0) * (1.0 + more)
     }
--- a/crates/core/src/settings/schema.rs
+++ b/crates/core/src/settings/schema.rs
@@ -54,7 +54,7 @@
 
 /// The keys, in the order of their paths.
 pub const KEYS: &[Key] = &[
-    Key::unread("Clients.MarksRetry", "a client's repeat is handled as any request is"),
+    Key::unread("Clients.MarksRetry", "each retry bears its mark; where clients mark none, each request is taken for a first try"),
     Key::unread("Costs.Connection", "not yet: connections are kept, whatever an open one costs"),
     Key::unread("Costs.CrossZone", "not yet: members are picked without regard to their zones"),
     Key::unread("Costs.Discovery", "each pooler keeps one watch; there is no cheaper way to hold a list"),
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -115,6 +115,8 @@
     pub(crate) group: GroupId,
     pub(crate) session: Option<SessionKey>,
     pub(crate) token: Option<Time>,
+    /// Its client has asked before.
+    pub(crate) retry: bool,
     pub(crate) arrived: Time,
     pub(crate) aim: Time,
     pub(crate) deadline: Time,
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -113,7 +113,22 @@
         self.ask_for(class, None, ms)
     }
 
+    /// A request that its client marks as a retry.
+    pub fn ask_again(&mut self, class: ClassId) -> (RequestId, Vec<Action>) {
+        self.ask_marked(class, None, 1_000, true)
+    }
+
     fn ask_for(&mut self, class: ClassId, session: Option<u64>, ms: i64) -> (RequestId, Vec<Action>) {
+        self.ask_marked(class, session, ms, false)
+    }
+
+    fn ask_marked(
+        &mut self,
+        class: ClassId,
+        session: Option<u64>,
+        ms: i64,
+        retry: bool,
+    ) -> (RequestId, Vec<Action>) {
         self.next += 1;
         let id = RequestId(self.next);
         let request = Request {
@@ -125,7 +140,7 @@
             group: GroupId(0),
             last_write: None,
             cost: None,
-            retry: false,
+            retry,
         };
         (id, self.tell(Event::Request(request)))
     }
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -434,6 +434,37 @@
     }
 }
 
+#[test]
+fn retries_of_clients_give_way_to_first_tries_where_replicas_are_crowded() {
+    // Seen on the bench: refusals came back as retries, which were served late and kept first tries from being served in time.
+    for (slow_ms, crowded) in [(20, false), (200, true)] {
+        let mut host = Host::new(settings(), 3);
+        let mut answered = 0;
+        while answered < 20 {
+            let (id, actions) = host.ask(ANY);
+            let to = sends(&actions).remove(0);
+            let at = (1..=3).find(|at| member(*at) == to).unwrap();
+            // A third of the answers is slow: more than in an idle fleet, fewer than from where first tries are shed.
+            host.answer(id, 0, at, if answered % 3 == 0 { slow_ms } else { 20 });
+            answered += 1;
+        }
+        let (again, actions) = host.ask_again(ANY);
+        assert_eq!(sends(&actions).is_empty(), crowded);
+        assert_eq!(
+            refused(&actions, again).is_some_and(|after| after.is_some()),
+            crowded,
+            "told when to come back"
+        );
+        assert_eq!(sends(&host.ask(ANY).1).len(), 1, "a first try");
+        host.probed(1, true, 0);
+        let (write, actions) = host.ask_again(UNSAFE);
+        assert!(
+            refused(&actions, write).is_none() && sends(&actions).len() == 1,
+            "a write comes again only if it never ran"
+        );
+    }
+}
+
 #[test]
 fn nothing_is_sent_with_less_time_left_than_an_answer_takes() {
     // Seen on the bench: held reads went out with 40 ms left for 145 ms of work.
