Second copies on sockets, where the settings allow them

Limits.MayDuplicate allows two attempts of a request out at once, and the module orders the second; config.rs turned it off on sockets, and request.rs could not have two out.

- request.rs: a list of attempts that are out, two at most, and one where the settings or the class (any but one that may run any number of times) forbid it when the request is taken.
The first good answer counts; what else is out is closed before the module hears of anything.
Each end while the other is out is told as not closed.
Each attempt asks for client, process and member at the one place before its own first byte, as before.
- What the module ordered in the poll in which the request ended is told as not sent: it would have counted as out at its member for good.
- driver.rs: Order::Cancel names its attempt. config.rs passes the setting on.

A second copy takes one more connection of the servers' part of the descriptors; that part is as it was.

--- a/crates/daemon/tests/peers/mod.rs
+++ b/crates/daemon/tests/peers/mod.rs
@@ -8,7 +8,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A position that servers tell.
 pub const NOW_MS: &str = "1767225600123";
@@ -272,6 +272,75 @@
     (open, server)
 }
 
+/// A server that says when it has a statement, and does with it what it is told.
+pub struct Slow {
+    pub server: Server,
+    go: Sender<&'static str>,
+    done: Receiver<()>,
+}
+
+impl Slow {
+    pub fn new(id: &'static str) -> Self {
+        Self::with_part(id, "replica")
+    }
+
+    pub fn with_part(id: &'static str, part: &'static str) -> Self {
+        let ((go, told), (end, done)) = (channel::<&'static str>(), channel());
+        let ends = Mutex::new((told, end));
+        let server = Server::raw(id, move |wire, statement| {
+            let (told, end) = &*ends.lock().unwrap();
+            if statement.is_empty() {
+                wire.put(b"I\0\0\0\x04Z\0\0\0\x05I");
+            } else if statement.starts_with("SHOW") {
+                let role = u8::from(part == "master");
+                wire.row(format!("x0=1767225600.1,x1={role}").as_bytes(), part, NOW_MS);
+            } else {
+                match told.recv() {
+                    Ok("closed") => {
+                        // What came along with the statement is no more.
+                        let more = std::iter::from_fn(|| wire.message());
+                        if more.filter(|(_, body)| body != b"\0").count() == 0 {
+                            let _ = end.send(());
+                        }
+                        return false;
+                    }
+                    Ok("row") => wire.row(b"done", part, NOW_MS),
+                    Ok(code) => wire.error(code, part),
+                    Err(_) => return false,
+                }
+            }
+            // All that came along has been answered.
+            if !wire.has_more() {
+                wire.arrived();
+                let _ = end.send(());
+            }
+            true
+        });
+        Self { server, go, done }
+    }
+
+    /// With a row, with the error of this code, or with nothing (`closed`): then it waits for the connection's end, with
+    /// nothing more sent there.
+    pub fn answer(&self, how: &'static str) {
+        self.go.send(how).unwrap();
+        self.done.recv_timeout(PATIENCE).unwrap();
+    }
+}
+
+pub fn until(mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "in vain");
+        std::thread::yield_now();
+    }
+}
+
+/// The clients' ids of what it was sent.
+pub fn ids(server: &Server) -> Vec<String> {
+    let id = |of: &String| of.split_once("id=").unwrap().1.split_once(',').unwrap().0.to_owned();
+    server.got().iter().map(id).collect()
+}
+
 /// Discovery: each watch is announced by its request line, and then sends the lines given until told to end.
 pub struct Discovery {
     pub address: SocketAddr,
--- a/crates/net/src/config.rs
+++ b/crates/net/src/config.rs
@@ -173,9 +173,8 @@
         }
         // Positions on sockets are Unix times, and so is the clock of this host.
         settings.zero = Time(0);
-        // This host keeps the list followed by itself, and one attempt of a request out at a time.
+        // This host keeps the list followed by itself.
         settings.discovery = Discovery::Push;
-        settings.second_copies = false;
         let seed = match &file.seed {
             Value::Null => 0,
             Value::Number(number) => number.as_u64().unwrap_or(0),
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -41,8 +41,11 @@
     },
     /// Answer that it has failed.
     Fail,
-    /// Stop waiting for an attempt.
-    Cancel,
+    /// Give an attempt up.
+    Cancel {
+        /// Which.
+        attempt: AttemptNo,
+    },
 }
 
 /// The module with its clock and mailboxes.
@@ -102,7 +105,7 @@
             }
             Action::Refuse { request, retry_after } => self.order(request, Order::Refuse { retry_after }),
             Action::Fail { request } => self.order(request, Order::Fail),
-            Action::Cancel { request, .. } => self.order(request, Order::Cancel),
+            Action::Cancel { request, attempt } => self.order(request, Order::Cancel { attempt }),
             // A message may get lost anywhere; where there is no room, it is here.
             Action::Tell { to, bytes } => drop(self.tells.try_send((to, bytes))),
             // Both channels are unbounded, and their other ends live as long as the process.
@@ -135,7 +138,7 @@
         let Some((shares, named)) = retune::merge_tenants(&tenants.all(), &settings.tenants) else {
             return false;
         };
-        classes.set(&all, present, longest_deadline);
+        classes.set(&all, present, longest_deadline, settings.second_copies);
         tenants.set(&shares, named);
         (settings.classes, settings.tenants) = (all, shares);
         self.router.borrow_mut().retune(settings);
@@ -214,8 +217,9 @@
     }
 }
 
-/// The orders for a request that it has not taken yet: one or two, since the module orders nothing more before it has
-/// heard of the end of an attempt. A channel would do, for two kilobytes a request.
+/// The orders for a request that it has not taken yet: five at most, since with two attempts out the module orders nothing
+/// more but the final answer, and their end, before it has heard of the end of one. A channel would do, for two kilobytes a
+/// request.
 #[derive(Default)]
 struct Mailbox {
     orders: RefCell<VecDeque<Order>>,
@@ -261,6 +265,15 @@
     pub async fn order(&self) -> Order {
         self.mailbox.next().await
     }
+
+    /// Takes the members that attempts were ordered to and not begun: the request has ended before.
+    pub fn unsent(&self) -> impl Iterator<Item = MemberId> {
+        let orders = self.mailbox.orders.take();
+        orders.into_iter().filter_map(|order| match order {
+            Order::Send { member, .. } => Some(member),
+            _ => None,
+        })
+    }
 }
 
 impl Drop for Ticket {
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -642,6 +642,7 @@
             deadline: self.driver.clock.now() + Span((comment.wait_ms * 1_000.0) as i64).min(longest),
             last_write: comment.after_ms.map(|ms| Time((ms * 1_000.0) as i64)),
             retry: comment.retry,
+            copies: self.classes.may_be_copied(class),
             query: (),
         })
     }
@@ -649,7 +650,7 @@
 
 impl Asked<()> {
     fn with(self, query: Statement) -> Asked<Statement> {
-        let Self { class, tenant, session, group, deadline, last_write, retry, query: () } = self;
-        Asked { class, tenant, session, group, deadline, last_write, retry, query }
+        let Self { class, tenant, session, group, deadline, last_write, retry, copies, query: () } = self;
+        Asked { class, tenant, session, group, deadline, last_write, retry, copies, query }
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -101,7 +101,8 @@
         let (probes, wanted) = async_channel::unbounded();
         let classes = Rc::new(classes::Classes::default());
         let present = (0..config.settings.classes.len()).map(linnetdeal_core::ClassId).collect();
-        classes.set(&config.settings.classes, present, config.host.longest_deadline);
+        let (longest, copies) = (config.host.longest_deadline, config.settings.second_copies);
+        classes.set(&config.settings.classes, present, longest, copies);
         let tenants = Rc::new(Tenants::default());
         let present = (0..config.settings.tenants.len()).map(linnetdeal_core::TenantId).collect();
         tenants.set(&config.settings.tenants, present);
--- a/crates/net/src/request.rs
+++ b/crates/net/src/request.rs
@@ -3,14 +3,18 @@
 
 use super::driver::{Driver, Order};
 use crate::config::duration;
-use futures_lite::future::or;
+use futures_lite::future::{or, poll_fn};
 use linnetdeal_core::*;
 use std::cell::Cell;
 use std::future::Future;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
+/// Where second copies are allowed, so many attempts of a request may be out at once.
+const MOST_OUT: usize = 2;
+
 /// What takes an attempt to a member.
 pub trait Carrier {
     /// What the client asks, ready to be sent on.
@@ -77,6 +81,8 @@
     pub last_write: Option<Time>,
     /// Its client marks it as a retry.
     pub retry: bool,
+    /// A second attempt may be out beside the first: the settings allowed it when the request was taken, and so does its class.
+    pub copies: bool,
     /// What is sent to a member.
     pub query: Q,
 }
@@ -106,8 +112,17 @@
     Gone,
 }
 
+/// How a request ends.
+enum Last<R> {
+    Served(R),
+    Refused(Option<Span>),
+    Failed,
+    Cut(Cut),
+}
+
+/// What comes next for a request.
 enum Turn<R> {
-    Ended(Ended<R>),
+    Ended(Over<R>),
     Ordered(Order),
     Cut(Cut),
 }
@@ -119,8 +134,10 @@
     asked: &Asked<C::Query>,
     patron: &impl Patron,
 ) -> Final<C::Reply> {
+    let most_out = if asked.copies { MOST_OUT } else { 1 };
     let mut cut = pin!(patron.end());
-    let mut sends = 0;
+    let mut sends = (0..).map(AttemptNo);
+    let mut out = Vec::new();
     let mut may_have_run = None;
 
     // Taken: the module is asked what to do.
@@ -136,78 +153,171 @@
         retry: asked.retry,
     });
     loop {
-        // It orders an attempt or the final answer, or lets the request wait.
-        let order = async { Turn::<C::Reply>::Ordered(ticket.order().await) };
+        // An answer that is there goes before the module's orders, and both before the client's leaving. The module orders an
+        // attempt or the final answer, or lets the request wait.
+        let ended = async { Turn::Ended(first_to_end(&mut out).await) };
+        let order = async { Turn::Ordered(ticket.order().await) };
         let left = async { Turn::Cut(cut.as_mut().await) };
-        let (member, wait) = match or(order, left).await {
-            Turn::Ordered(Order::Send { member, wait }) => (member, wait),
-            Turn::Ordered(Order::Refuse { retry_after }) => return refused(driver, retry_after),
-            Turn::Ordered(Order::Fail) => return failed(driver, may_have_run),
-            Turn::Ordered(Order::Cancel) | Turn::Ended(_) => continue,
-            Turn::Cut(why) => {
-                driver.feed(Event::Gone(ticket.id()));
-                return end_early(driver, why, may_have_run);
+        let turn = or(ended, or(order, left)).await;
+        let (over, last) = match turn {
+            // Sent: the client may have left, or the process be about to end, in the same poll as the order came, a connection
+            // was proved or a dial came up: that is looked for before the first byte, whatever came before it.
+            Turn::Ordered(Order::Send { member, wait }) => {
+                let number = sends.next().unwrap_or(AttemptNo(u32::MAX));
+                if out.len() >= most_out {
+                    (Some(Over::unsent(driver, number, member)), None)
+                } else {
+                    driver.counters.sent.add();
+                    let sent = driver.clock.now();
+                    let begun = Rc::new(Cell::new(false));
+                    let (to, begins) = (member.clone(), begun.clone());
+                    let work = Box::pin(attempt(carrier, to, &asked.query, duration(wait), patron, begins));
+                    out.push(Attempt { number, member, sent, begun, work });
+                    continue;
+                }
+            }
+            Turn::Ordered(Order::Cancel { attempt }) => {
+                let at = out.iter().position(|one| one.number == attempt);
+                (at.map(|at| out.remove(at).give_up()), None)
+            }
+            Turn::Ordered(Order::Refuse { retry_after }) => (None, Some(Last::Refused(retry_after))),
+            Turn::Ordered(Order::Fail) => (None, Some(Last::Failed)),
+            Turn::Cut(why) => (None, Some(Last::Cut(why))),
+            Turn::Ended(mut over) => {
+                let served = over.ended.reply.take().map(Last::Served);
+                let last = served.or(over.stopped.map(Last::Cut));
+                (Some(over), last)
             }
         };
 
-        // Sent: an answer that is there goes before the module's recall, and both before the client's leaving. But the client
-        // may have left, or the process be about to end, in the same poll as the order came, a connection was proved or a
-        // dial came up: that is looked for before the first byte, whatever came before it.
-        driver.counters.sent.add();
-        let sent = driver.clock.now();
-        let (begun, stopped) = (Cell::new(false), Cell::new(None));
-        let begins = || {
-            stopped.set(patron.ended());
-            begun.set(stopped.get().is_none());
-            begun.get()
-        };
-        let turn = {
-            let attempt = carrier.attempt(&member, &asked.query, duration(wait), &begins);
-            let attempt = async { Turn::Ended(attempt.await) };
-            let recall = async { Turn::Ordered(ticket.order().await) };
-            let left = async { Turn::Cut(cut.as_mut().await) };
-            or(attempt, or(recall, left)).await
+        // What is still out when the final answer is known is given up. Attempts are over, with their connections if they were
+        // given up; only now is the module told.
+        let given_up: Vec<_> = match last {
+            Some(_) => out.drain(..).map(Attempt::give_up).collect(),
+            None => Vec::new(),
         };
+        if matches!(last, Some(Last::Cut(_))) {
+            driver.feed(Event::Gone(ticket.id()));
+        }
+        for over in over.into_iter().chain(given_up) {
+            if !over.ended.verdict.never_ran() {
+                may_have_run = Some(over.member.clone());
+            }
+            over.tell(driver, ticket.id(), last.is_some());
+        }
 
-        // The attempt is over, with its connection if it was given up; only now is the module told. One that was given up before
-        // its first byte never ran.
-        let given_up = if begun.get() { Verdict::Cancelled } else { Verdict::Moot };
-        let (ended, after) = match turn {
-            Turn::Ended(ended) => (ended, stopped.get().map(Err)),
-            Turn::Ordered(order) => (Ended::without_answer(given_up), Some(Ok(order))),
-            Turn::Cut(why) => (Ended::without_answer(given_up), Some(Err(why))),
-        };
-        let Ended { verdict, note, report, reply } = ended;
-        if !verdict.never_ran() {
-            may_have_run = Some(member.clone());
+        // The final answer, if this was it; else the module has been asked again.
+        let Some(last) = last else { continue };
+        for (member, number) in ticket.unsent().zip(sends) {
+            Over::<C::Reply>::unsent(driver, number, member).tell(driver, ticket.id(), true);
         }
-        if matches!(after, Some(Err(_))) {
-            driver.feed(Event::Gone(ticket.id()));
+        return match last {
+            Last::Served(reply) => {
+                driver.counters.served.add();
+                Final::Served(reply)
+            }
+            Last::Refused(retry_after) => refused(driver, retry_after),
+            Last::Failed => failed(driver, may_have_run),
+            Last::Cut(why) => end_early(driver, why, may_have_run),
+        };
+    }
+}
+
+/// One attempt, and why it was stopped if the client or the process stopped it before its first byte.
+async fn attempt<C: Carrier>(
+    carrier: &C,
+    member: MemberId,
+    query: &C::Query,
+    wait: Duration,
+    patron: &impl Patron,
+    begun: Rc<Cell<bool>>,
+) -> (Ended<C::Reply>, Option<Cut>) {
+    let stopped = Cell::new(None);
+    let begins = || {
+        stopped.set(patron.ended());
+        begun.set(stopped.get().is_none());
+        begun.get()
+    };
+    let ended = carrier.attempt(&member, query, wait, &begins).await;
+    (ended, stopped.get())
+}
+
+/// An attempt that is out.
+struct Attempt<F> {
+    number: AttemptNo,
+    member: MemberId,
+    sent: Time,
+    /// Its first byte may have been written.
+    begun: Rc<Cell<bool>>,
+    /// Out of the request's own state: most clients have none out.
+    work: Pin<Box<F>>,
+}
+
+impl<F, R> Attempt<F>
+where
+    F: Future<Output = (Ended<R>, Option<Cut>)>,
+{
+    /// Closes its connection. One that is given up before its first byte never ran.
+    fn give_up(self) -> Over<R> {
+        let verdict = if self.begun.get() { Verdict::Cancelled } else { Verdict::Moot };
+        self.over(Ended::without_answer(verdict), None)
+    }
+
+    fn over(self, ended: Ended<R>, stopped: Option<Cut>) -> Over<R> {
+        let Self { number, member, sent, .. } = self;
+        Over { number, member, sent, ended, stopped }
+    }
+}
+
+/// The first of these attempts that ends, the earlier one where two do; never while none is out.
+async fn first_to_end<F, R>(out: &mut Vec<Attempt<F>>) -> Over<R>
+where
+    F: Future<Output = (Ended<R>, Option<Cut>)>,
+{
+    poll_fn(|context| {
+        for at in 0..out.len() {
+            if let Poll::Ready((ended, stopped)) = out[at].work.as_mut().poll(context) {
+                return Poll::Ready(out.remove(at).over(ended, stopped));
+            }
         }
+        Poll::Pending
+    })
+    .await
+}
+
+/// An attempt that is over, and nothing of it is out any more.
+struct Over<R> {
+    number: AttemptNo,
+    member: MemberId,
+    sent: Time,
+    ended: Ended<R>,
+    stopped: Option<Cut>,
+}
+
+impl<R> Over<R> {
+    /// One that was ordered and never begun.
+    fn unsent(driver: &Driver, number: AttemptNo, member: MemberId) -> Self {
+        driver.counters.sent.add();
+        let sent = driver.clock.now();
+        Self { number, member, sent, ended: Ended::without_answer(Verdict::Moot), stopped: None }
+    }
+
+    /// Tells the module, and whether the client has its final answer.
+    fn tell(self, driver: &Driver, request: RequestId, closed: bool) {
+        let Self { number: attempt, member, sent, ended, .. } = self;
+        let Ended { verdict, note, report, .. } = ended;
         driver.counters.outcome(verdict);
+        let took = driver.clock.now() - sent;
         driver.feed(Event::Outcome(Outcome {
-            request: ticket.id(),
-            attempt: AttemptNo(sends),
+            request,
+            attempt,
             member,
             verdict,
             note,
-            took: driver.clock.now() - sent,
-            closed: reply.is_some() || !matches!(after, None | Some(Ok(Order::Cancel))),
+            took,
+            closed,
             report,
         }));
-        sends += 1;
-
-        // The final answer, if this was it; else the module has been asked again.
-        match (reply, after) {
-            (Some(reply), _) => {
-                driver.counters.served.add();
-                return Final::Served(reply);
-            }
-            (None, Some(Ok(Order::Refuse { retry_after }))) => return refused(driver, retry_after),
-            (None, Some(Ok(Order::Fail))) => return failed(driver, may_have_run),
-            (None, Some(Err(why))) => return end_early(driver, why, may_have_run),
-            (None, None | Some(Ok(_))) => {}
-        }
     }
 }
 
