Merge second copies on sockets, as the settings allow them

check no longer tells Limits.MayDuplicate as put aside. The module asks at the moment of a second copy whether the settings (still) allow one: after a reload that forbids them, one that was due would have gone out.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -888,7 +888,8 @@
         };
         let spent = open.attempts.len() as u32 >= open.most;
         let twice = open.attempts.iter().filter(|attempt| attempt.open).count() > 1;
-        let hedge = !spent && !twice && self.retries >= 1.0 && now < open.aim && self.stalled != now;
+        let may = self.settings.second_copies && !spent && !twice && self.retries >= 1.0;
+        let hedge = may && now < open.aim && self.stalled != now;
         let deadline = open.deadline;
         self.set_due(id, deadline);
         let to = if hedge { self.place_read(now, id, actions) } else { None };
--- a/crates/net/src/config.rs
+++ b/crates/net/src/config.rs
@@ -15,10 +15,9 @@
 const LEAST_SOCKETS: usize = 16;
 
 /// Settings that this host puts aside, whatever they say, and why. `Config::decode` does so.
-pub const PUT_ASIDE: [(&str, &str); 3] = [
+pub const PUT_ASIDE: [(&str, &str); 2] = [
     ("Discovery", "the list is watched, whoever says that it is pushed or asked for"),
     ("FamilyInfo.Zero", "positions on sockets are Unix times"),
-    ("Limits.MayDuplicate", "on sockets one attempt of a request is out at a time"),
 ];
 
 /// Why the configuration can't be used.
@@ -185,11 +184,10 @@
             let words = format!("limits.sockets {} is under {LEAST_SOCKETS}", file.limits.sockets);
             return Err(ConfigError::Settings(words));
         }
-        // The three of `PUT_ASIDE`. Positions on sockets are Unix times, and so is the clock of this host.
+        // The two of `PUT_ASIDE`. Positions on sockets are Unix times, and so is the clock of this host.
         settings.zero = Time(0);
-        // This host keeps the list followed by itself, and one attempt of a request out at a time.
+        // This host keeps the list followed by itself.
         settings.discovery = Discovery::Push;
-        settings.second_copies = false;
         let seed = match &file.seed {
             Value::Null => 0,
             Value::Number(number) => number.as_u64().unwrap_or(0),
