Requests behind others on a connection: their time counts from when they came

`d` counts from when the client sent it; the pooler counted it from its turn, so the module waited past the client's patience.

Ruled out: connections that the pooler ends (the trial logged every end of a client's connection: the client had closed each of them); answers later than the time that the module was told (none by over 10 ms); the traced deploy (untraced it is the same).

At fault: `Door::asked` in net/src/frontend.rs, `deadline: clock.now() + d`. Bytes are now noted as they are read, also ahead (arrivals.rs); what is over before its turn is answered at once with nothing sent. What stands beyond the 16 KiB that are read ahead still counts from when it is read.

--- a/crates/daemon/tests/crossings.rs
+++ b/crates/daemon/tests/crossings.rs
@@ -458,6 +458,29 @@
     assert!(pooler.counters().contains(" served=1 "));
 }
 
+#[test]
+fn what_waits_behind_another_has_its_time_from_when_it_was_sent() {
+    // Counted from when their turn came, the answers would be there after 0.6, 0.9 and 1.8 s: the last two clients had gone.
+    let (open, server) = held("s-1");
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let mut client = Client::connect(&pooler);
+    let waits = |id: &str, ms: &str| menu(id).replace("d=8000", &format!("d={ms}"));
+    let sent = Instant::now();
+    [("1", "600"), ("2", "300"), ("3", "900")].iter().for_each(|(id, ms)| client.send(&waits(id, ms)));
+    let answered = [600, 600, 900].map(|due| {
+        let code = client.answer().code;
+        (code.as_deref() == Some("53300"), due, sent.elapsed())
+    });
+    let in_time = |(refused, due, took): &(bool, u64, Duration)| {
+        *refused && (Duration::from_millis(*due)..Duration::from_millis(due + 250)).contains(took)
+    };
+    assert!(answered.iter().all(in_time), "{answered:?}");
+    // What was over before its turn came went nowhere.
+    assert_eq!(ids(&server), ["1", "3"]);
+    drop(open);
+}
+
 #[test]
 fn a_client_that_left_between_two_attempts_gets_no_second() {
     let (one, two) = (Slow::new("s-1"), Slow::new("s-2"));
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -1,5 +1,6 @@
 //! Clients: connections are accepted within a budget, and each has a task that reads its commands in order.
 
+use super::arrivals::Arrivals;
 use super::buffer::{ReadBuffer, discard, write_all};
 use super::pg::write::{self, Severity};
 use super::pg::{self, Asks, PgError, Startup};
@@ -152,6 +153,7 @@
             // Closed before the seat counts as free.
             stream,
             buffer: ReadBuffer::default(),
+            arrivals: Arrivals::default(),
             seat,
             stage: Stage::Startup,
             since: Instant::now(),
@@ -189,6 +191,7 @@
     door: &'a Rc<Door>,
     stream: Async<TcpStream>,
     buffer: ReadBuffer,
+    arrivals: Arrivals,
     seat: Seat<'a>,
     stage: Stage,
     /// When it came to its seat, or last had an answer.
@@ -281,13 +284,14 @@
                 continue;
             };
             let (tag, size) = (message.tag, message.size);
+            let arrived = self.arrivals.of(self.buffer.data().len() - size);
             // After an error in the extended protocol all is skipped up to Sync.
             if skipping && tag != b'S' && tag != b'X' {
                 self.buffer.consume(size);
                 continue;
             }
             out.clear();
-            match self.command(size, &mut out)? {
+            match self.command(size, arrived, &mut out)? {
                 Command::End => return Ok(()),
                 Command::Answered => {
                     skipping &= tag != b'S';
@@ -340,7 +344,7 @@
     /// Reads more; false if there will be none, or the client has to go: it makes room, took too long for a
     /// command, or the process ends. What is readable goes before all that.
     async fn more(&mut self) -> Result<bool, ClientError> {
-        let Self { door, stream, buffer, seat, stage, since, .. } = self;
+        let Self { door, stream, buffer, arrivals, seat, stage, since, .. } = self;
         let between = buffer.data().is_empty() && *stage != Stage::Startup;
         buffer.rest();
         // The first bytes of a command that has begun came just now; they don't grant more time again.
@@ -348,7 +352,11 @@
             Stage::Known if between => None,
             _ => Some(*since + COMMAND_WAIT),
         };
-        let read = async { Ok(buffer.fill(stream).await? > 0) };
+        let read = async {
+            let count = buffer.fill(stream).await?;
+            arrivals.came(count, door.driver.clock.now());
+            Ok(count > 0)
+        };
         let late = async {
             match limit {
                 Some(at) => drop(Timer::at(at).await),
@@ -380,7 +388,12 @@
     }
 
     /// Reads the command at the front of the buffer and uses it up.
-    fn command(&mut self, size: usize, out: &mut Vec<u8>) -> Result<Command, ClientError> {
+    fn command(
+        &mut self,
+        size: usize,
+        arrived: Option<Time>,
+        out: &mut Vec<u8>,
+    ) -> Result<Command, ClientError> {
         let Some(message) = pg::message(self.buffer.data())? else { return Ok(Command::End) };
         let mut rejected = None;
         match message.tag {
@@ -388,7 +401,7 @@
                 let statement = pg::query_text(message.body)?;
                 match pg::request(statement) {
                     Ok(Asks::Request(comment)) => {
-                        let asked = self.door.asked(statement, &comment);
+                        let asked = self.door.asked(statement, &comment, arrived);
                         let open = OpenId::enter(self.door, comment.id);
                         if let (Some(asked), Some(open)) = (asked, open) {
                             let wait = comment.wait_at.clone();
@@ -434,8 +447,9 @@
         id: &str,
         out: &mut Vec<u8>,
     ) -> Result<bool, ClientError> {
-        let Self { door, stream, buffer, .. } = self;
-        let asking = Asking { life: &door.life, stream, buffer: RefCell::new(buffer) };
+        let Self { door, stream, buffer, arrivals, .. } = self;
+        let read = RefCell::new((buffer, arrivals));
+        let asking = Asking { life: &door.life, driver: &door.driver, stream, read };
         let answer = serve(&door.driver, &*door.pool, &asked, &asking).await;
         if let (Final::Failed { at: Some(at) }, Some((class, Need::Write, _))) =
             (&answer, door.classes.get(asked.class))
@@ -535,20 +549,22 @@
 struct Asking<'a> {
     life: &'a Life,
     stream: &'a Async<TcpStream>,
-    /// Not borrowed across a wait.
-    buffer: RefCell<&'a mut ReadBuffer>,
+    driver: &'a Driver,
+    /// What it sends ahead, and when that came. Not borrowed across a wait.
+    read: RefCell<(&'a mut ReadBuffer, &'a mut Arrivals)>,
 }
 
 impl Asking<'_> {
     /// Whether no more is read for now.
     fn is_ahead(&self) -> bool {
-        self.buffer.borrow().data().len() >= AHEAD
+        self.read.borrow().0.data().len() >= AHEAD
     }
 
     fn has_left(&self) -> bool {
         while !self.is_ahead() {
-            match self.buffer.borrow_mut().fill_now(self.stream.get_ref()) {
-                Ok(1..) => {}
+            let (buffer, arrivals) = &mut *self.read.borrow_mut();
+            match buffer.fill_now(self.stream.get_ref()) {
+                Ok(count @ 1..) => arrivals.came(count, self.driver.clock.now()),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return false,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Ok(0) | Err(_) => return true,
@@ -621,8 +637,9 @@
 }
 
 impl Door {
-    /// The request that a statement makes; `None` if its class is unknown.
-    fn asked(&self, statement: &str, comment: &pg::Comment<'_>) -> Option<Asked<()>> {
+    /// The request that a statement makes whose last byte came at this time; `None` if its class is unknown. Its client counts
+    /// from there, however long it waited behind others of its connection.
+    fn asked(&self, statement: &str, comment: &pg::Comment<'_>, arrived: Option<Time>) -> Option<Asked<()>> {
         let class = self.classes.named(comment.class)?;
         let longest = Span(i64::try_from(self.classes.longest_deadline().as_micros()).unwrap_or(i64::MAX));
         let keyed = matches!(self.classes.get(class)?.1, Need::Write | Need::Session);
@@ -635,7 +652,8 @@
             class,
             session,
             group: GroupId(comment.cluster),
-            deadline: self.driver.clock.now() + Span((comment.wait_ms * 1_000.0) as i64).min(longest),
+            deadline: arrived.unwrap_or_else(|| self.driver.clock.now())
+                + Span((comment.wait_ms * 1_000.0) as i64).min(longest),
             last_write: comment.after_ms.map(|ms| Time((ms * 1_000.0) as i64)),
             query: (),
         })
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,6 +1,7 @@
 //! The daemon: the decisions on real sockets. One executor on one thread carries all tasks.
 
 pub mod alarms;
+pub mod arrivals;
 pub mod buffer;
 pub mod classes;
 pub mod clock;
