--- a/crates/fleet/src/faults.rs
+++ b/crates/fleet/src/faults.rs
@@ -31,6 +31,20 @@
     StaleBounded,
     /// A write is served that never ran.
     ServedWithoutRow,
+    /// A client's retry is called a first try of the same client.
+    RetryAsFirst,
+    /// It is called a first try of another client.
+    RetryAsAnother,
+    /// It is given more time than is left of the first try's.
+    RetryWithNewTime,
+    /// A box ends a job when its router has given it up.
+    CancelFrees,
+    /// It never comes to the end of it.
+    CancelDrops,
+    /// A request that may run twice has three attempts out.
+    ThirdCopy,
+    /// A router that has long asked nobody sends to a box that was published as gone meanwhile.
+    UnaskedDrain,
 }
 
 impl Fault {
@@ -50,14 +64,28 @@
         Self::ServedWithoutRow,
     ];
 
+    /// Those that need the full records, and a list that is asked.
+    pub const FULL: [Self; 7] = [
+        Self::RetryAsFirst,
+        Self::RetryAsAnother,
+        Self::RetryWithNewTime,
+        Self::CancelFrees,
+        Self::CancelDrops,
+        Self::ThirdCopy,
+        Self::UnaskedDrain,
+    ];
+
     /// The rule that it breaks.
     #[must_use]
     pub fn rule(self) -> Rule {
         match self {
             Self::DoubledWrite | Self::RefusedThatRan => Rule::Once,
             Self::Unanswered | Self::AnsweredTwice | Self::AnsweredLate => Rule::Answered,
-            Self::TwoOut => Rule::OneOut,
-            Self::AfterDrain => Rule::Drain,
+            Self::TwoOut | Self::ThirdCopy => Rule::OneOut,
+            Self::AfterDrain | Self::UnaskedDrain => Rule::Drain,
+            Self::RetryAsFirst | Self::RetryWithNewTime => Rule::Tries,
+            Self::RetryAsAnother => Rule::Counted,
+            Self::CancelFrees | Self::CancelDrops => Rule::Works,
             Self::PushedOver => Rule::Cold,
             Self::StaleSession | Self::StaleFresh | Self::StaleBounded => Rule::Stale,
             Self::ServedWithoutRow => Rule::Honest,
@@ -103,7 +131,9 @@
                 all.insert(to, late);
             }
             Self::TwoOut => {
-                let at = find(What::Sent, &|_| true)?;
+                // Where second copies are allowed, of what must not run twice.
+                let may = |of: &Record| !rules.copies || law(of).is_some_and(|law| law.fragile);
+                let at = find(What::Sent, &may)?;
                 all.insert(at + 1, all[at]);
             }
             Self::AfterDrain => {
@@ -158,11 +188,78 @@
                 let id = all[at].request;
                 all.retain(|of| of.request != id || of.what != What::Ran);
             }
+            Self::RetryAsFirst => all[find(What::Try, &|of| of.y > 0)?].y = 0,
+            Self::RetryAsAnother => {
+                let at = find(What::Try, &|of| of.y > 0)?;
+                // The last of its client, or the next would be out of order, too.
+                let client = all[at].x;
+                let at = all.iter().rposition(|of| of.what == What::Try && of.x == client)?;
+                (all[at].x, all[at].y) = (i64::MAX, 0);
+            }
+            Self::RetryWithNewTime => {
+                let at = find(What::Try, &|of| of.y > 0)?;
+                let request = all[at].request;
+                let at = all.iter().position(|of| of.what == What::Asked && of.request == request)?;
+                all[at].x += 10_000_000;
+            }
+            Self::CancelFrees => {
+                let (at, over) = self.given_up(&all, middle, true)?;
+                let mut through = all.remove(at);
+                through.at = all[over].at;
+                all.insert(over + 1, through);
+            }
+            Self::CancelDrops => {
+                let (at, _) = self.given_up(&all, middle, false)?;
+                all.remove(at);
+            }
+            Self::ThirdCopy => {
+                let at = find(What::Sent, &|of| law(of).is_some_and(|law| !law.fragile))?;
+                all.insert(at + 1, all[at]);
+                all.insert(at + 1, all[at]);
+            }
+            Self::UnaskedDrain => {
+                let every = rules.asked?;
+                let at = all.iter().rposition(|of| of.what == What::Sent)?;
+                let sent = all[at];
+                let since = sent.at - every - rules.grace - Span::millis(1);
+                let own = |of: &Record| of.a == sent.a && matches!(of.what, What::Called | What::Watching);
+                let told = |of: &Record| of.b == sent.b && of.what == What::Published;
+                all.retain(|of| of.at <= since || !(own(of) || told(of)));
+                let to = all.iter().position(|of| of.at > since)?;
+                let ended = Record { at: since, what: What::Watching, x: 0, ..sent };
+                all.insert(to, ended);
+                all.insert(to, Record { what: What::Published, ..ended });
+            }
         }
         Some(all)
     }
 }
 
+impl Fault {
+    /// Where a job is through that its router had given up before, and where that was; if need be before it can have been
+    /// worked at for as long as it takes.
+    fn given_up(self, all: &[Record], from: usize, early: bool) -> Option<(usize, usize)> {
+        let mut took = std::collections::HashMap::new();
+        let mut over = std::collections::HashMap::new();
+        for (at, of) in all.iter().enumerate() {
+            match of.what {
+                What::Took => drop(took.insert((of.request, of.y), *of)),
+                What::Over => drop(over.insert((of.request, of.x), at)),
+                What::Through if at >= from => {
+                    let of = (of.request, of.y);
+                    let Some((took, over)) = took.get(&of).zip(over.get(&of)) else { continue };
+                    // No core is twice as quick as the standard.
+                    if !early || (all[*over].at - took.at).0 < took.x / 2 {
+                        return Some((at, *over));
+                    }
+                }
+                _ => {}
+            }
+        }
+        None
+    }
+}
+
 /// The end of records that were changed: later than all in them.
 #[must_use]
 pub fn end(records: &[Record]) -> Time {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -9,10 +9,6 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-/// A cold box's share of its capacity, and when it has all.
-pub const COLD: (f64, Span) = (0.16, Span::millis(16_000));
-/// It falls when it is sent more than this multiple of what it can do for so long.
-pub const FALL: (f64, Span) = (2.5, Span::millis(3_000));
 /// The shortest change without a plan, as a part of the usual.
 pub const LEAST_CHANGE: f64 = 0.75;
 
@@ -47,6 +43,13 @@
         /// Its life then.
         life: u32,
     },
+    /// What was deployed there starts, if the box still has that life.
+    Successor {
+        /// The box.
+        server: u32,
+        /// Its life then.
+        life: u32,
+    },
     /// A group looks for a primary.
     Elect {
         /// The group.
@@ -84,6 +87,8 @@
     Kill(Time, usize, u32),
     /// Clients ask so many times as much.
     Surge(f64),
+    /// The service that has the list ends all watches, and takes so many times as long for each call.
+    Overbooked(f64),
 }
 
 /// A change of the list: what it says from then on.
@@ -114,8 +119,10 @@
     pub zone: usize,
     /// How often it has died: connections of an earlier life are gone.
     pub life: u32,
+    /// It stands still, but connections and probes are taken.
+    pub hangs: bool,
     /// The latest report, and when it was made.
-    report: (Time, [f64; 2]),
+    report: (Time, [f64; 3]),
     /// When the list tells of its latest change.
     noticed: Time,
 }
@@ -157,6 +164,8 @@
     pub promoted: Vec<(Time, u32)>,
     /// Boxes that fell.
     pub fallen: u64,
+    /// How much further behind the list runs than usual.
+    behind: Span,
 }
 
 impl Fleet {
@@ -180,8 +189,9 @@
                     speed: boxes.speed * spread,
                     room: boxes.room,
                     crowding: boxes.crowding,
-                    cold: COLD,
-                    fall: FALL,
+                    thrash: (boxes.thrash_at, boxes.thrash),
+                    cold: boxes.cold(),
+                    fall: boxes.fall(),
                 };
                 hosts.push(Host {
                     server: Server::new(kind),
@@ -189,7 +199,8 @@
                     member: member as u32,
                     zone: (group + member) % fleet.zones,
                     life: 0,
-                    report: (Time(0), [0.0; 2]),
+                    hangs: false,
+                    report: (Time(0), [0.0; 3]),
                     noticed: begin,
                 });
             }
@@ -202,6 +213,7 @@
             changes: Vec::new(),
             promoted: Vec::new(),
             fallen: 0,
+            behind: Span(0),
             plan: plan.clone(),
         }
     }
@@ -302,17 +314,20 @@
         Finished::Committed(now)
     }
 
-    /// What it answers to a probe: its position in seconds since the beginning, and whether it is primary. `None` while
-    /// it does not work.
-    pub fn report(&mut self, server: u32, now: Time) -> Option<[f64; 2]> {
+    /// What it answers to a probe: its position in seconds since the beginning, whether it is primary, and how many requests
+    /// wait. `None` while nobody answers; one that hangs answers, as a probe passes beside its queue.
+    pub fn report(&mut self, server: u32, now: Time) -> Option<[f64; 3]> {
         let host = &self.hosts[server as usize];
-        if host.server.life() != Life::Up {
-            return None;
+        match host.server.life() {
+            Life::Up => {}
+            Life::Paused(_) if host.hangs => {}
+            _ => return None,
         }
         if now - host.report.0 >= self.plan.boxes.report {
             let primary = self.is_primary(server);
             let position = self.position(server, now);
-            let report = [(position - self.begin).0 as f64 / 1e6, f64::from(u8::from(primary))];
+            let waits = self.hosts[server as usize].server.waits() as f64;
+            let report = [(position - self.begin).0 as f64 / 1e6, f64::from(u8::from(primary)), waits];
             self.hosts[server as usize].report = (now, report);
         }
         Some(self.hosts[server as usize].report.1)
@@ -334,6 +349,7 @@
             Happens::Over { trouble, server, life } => {
                 self.ends_trouble(now, trouble, server, life, rng, out)
             }
+            Happens::Successor { server, life } => self.starts(now, server, life, rng, out),
             Happens::Elect { group, epoch } => self.elect(now, group, epoch, out),
             Happens::Promote { group, epoch, member } => self.promote(now, (group, epoch, member), rng, out),
         }
@@ -352,7 +368,7 @@
         let number = self.changes.len() as i64 + 1;
         self.changes.push(Change { server, state, started, primary, number });
         let (least, most) = (self.plan.network.list_least.0, self.plan.network.list_most.0);
-        let notice = now + Span(rng.random_range(least..=most));
+        let notice = now + Span(rng.random_range(least..=most)) + self.behind;
         // What it says of one box it says in order.
         let host = &mut self.hosts[server as usize];
         host.noticed = host.noticed.max(notice);
@@ -437,13 +453,18 @@
                 .collect(),
             Who::Boxes(share) => some(self.hosts.len(), share, rng),
             Who::Poolers(share) => some(self.plan.fleet.poolers, share, rng),
+            Who::List => Vec::new(),
         }
     }
 
-    fn trouble(&self, now: Time, at: usize, rng: &mut ChaCha8Rng, out: &mut Vec<Consequence>) {
+    fn trouble(&mut self, now: Time, at: usize, rng: &mut ChaCha8Rng, out: &mut Vec<Consequence>) {
         let trouble = &self.plan.troubles[at];
-        if trouble.what == Ill::Surge {
-            out.push(Consequence::Surge(trouble.factor));
+        if matches!(trouble.what, Ill::Surge | Ill::Stale | Ill::Overbook) {
+            match trouble.what {
+                Ill::Stale => self.behind = Span::millis(1_000).times(trouble.factor),
+                Ill::Overbook => out.push(Consequence::Overbooked(trouble.factor)),
+                _ => out.push(Consequence::Surge(trouble.factor)),
+            }
             out.push(Consequence::Record(What::Trouble, 0, 0, trouble.what as i64));
             if let Some(lasts) = trouble.lasts {
                 out.push(Consequence::At(now + lasts, Happens::Over { trouble: at, server: 0, life: 0 }));
@@ -476,20 +497,24 @@
         out.push(Consequence::Record(What::Trouble, server, 0, what as i64));
         let (group, member) = self.place(server);
         let model = &mut self.hosts[server as usize].server;
+        if what == Ill::Deploy && matches!(model.life(), Life::Dead | Life::Fallen) {
+            return;
+        }
         match what {
             Ill::Crash => {
                 if matches!(model.life(), Life::Up | Life::Paused(_)) {
                     self.dies(now, server, rng, out);
                 }
             }
-            Ill::Pause => {
+            Ill::Pause | Ill::Hang => {
                 model.pause(now);
+                self.hosts[server as usize].hangs = what == Ill::Hang;
                 out.push(Consequence::Lives(server));
                 self.leaves(now, server, rng, out);
             }
             Ill::Slow => model.slow = factor,
             Ill::Lag => self.groups[group].slow(member, factor),
-            Ill::Drain => {
+            Ill::Drain | Ill::Deploy => {
                 model.draining = true;
                 self.list(now, server, ListState::Draining, (None, false), rng, out);
                 if self.groups[group].primary() == Some(member) {
@@ -497,7 +522,7 @@
                     self.seeks(group, now + self.plan.boxes.switch, out);
                 }
             }
-            Ill::Surge => {}
+            Ill::Surge | Ill::Stale | Ill::Overbook => {}
         }
         if let Some(lasts) = lasts {
             let life = self.hosts[server as usize].life;
@@ -519,22 +544,27 @@
         let host = &mut self.hosts[server as usize];
         match what {
             Ill::Surge => out.push(Consequence::Surge(1.0)),
-            Ill::Crash => {
-                if host.life == life && host.server.start(now) {
-                    let capacity = host.server.capacity(now + COLD.1);
-                    out.push(Consequence::Record(What::Started, server, 0, (capacity * 1e6) as i64));
-                    out.push(Consequence::Lives(server));
-                    self.groups[group].join(member, now);
-                    self.list(now, server, ListState::Healthy, (Some(now), false), rng, out);
+            Ill::Stale => self.behind = Span(0),
+            Ill::Overbook => out.push(Consequence::Overbooked(1.0)),
+            Ill::Crash => self.starts(now, server, life, rng, out),
+            Ill::Deploy => {
+                if host.life == life && matches!(host.server.life(), Life::Up | Life::Paused(_)) {
+                    self.dies(now, server, rng, out);
+                    let next = Happens::Successor { server, life: life + 1 };
+                    out.push(Consequence::At(now + self.plan.troubles[at].away, next));
                 }
             }
-            Ill::Pause => {
+            Ill::Pause | Ill::Hang => {
+                host.hangs = false;
                 let running = host.server.resume(now);
                 out.extend(
                     running.into_iter().map(|(id, ends)| Consequence::At(ends, Happens::Done { server, id })),
                 );
                 out.push(Consequence::Lives(server));
-                self.groups[group].join(member, now);
+                // One that died meanwhile gets the log again when it starts.
+                if self.hosts[server as usize].server.life() == Life::Up {
+                    self.groups[group].join(member, now);
+                }
             }
             Ill::Slow => host.server.slow = 1.0,
             Ill::Lag => self.groups[group].slow(member, 1.0),
@@ -545,6 +575,26 @@
         }
     }
 
+    /// A box starts, cold, unless it has had another life meanwhile.
+    fn starts(
+        &mut self,
+        now: Time,
+        server: u32,
+        life: u32,
+        rng: &mut ChaCha8Rng,
+        out: &mut Vec<Consequence>,
+    ) {
+        let (group, member) = self.place(server);
+        let host = &mut self.hosts[server as usize];
+        if host.life == life && host.server.start(now) {
+            let capacity = host.server.capacity(now + self.plan.boxes.cold_in);
+            out.push(Consequence::Record(What::Started, server, 0, (capacity * 1e6) as i64));
+            out.push(Consequence::Lives(server));
+            self.groups[group].join(member, now);
+            self.list(now, server, ListState::Healthy, (Some(now), false), rng, out);
+        }
+    }
+
     /// How long a pooler that a trouble killed stays away; for ever without.
     #[must_use]
     pub fn away(&self, trouble: usize) -> Option<Span> {
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -35,6 +35,20 @@
     Fell,
     /// A box died, paused, or handed over: a mark for plots. `x` is the kind of trouble.
     Trouble,
+    /// Before [`What::Asked`]: the try of a client. `x` is the client, `y` the try's number from 0.
+    Try,
+    /// A job is in a box's hands. `x` is its work in µs, `y` the attempt.
+    Took,
+    /// It is through there. `y` is the attempt.
+    Through,
+    /// It is lost there, with the box. `y` is the attempt.
+    Lost,
+    /// The list, where it has to be asked, says from now on that a box is in service (`x` 1) or not (0).
+    Published,
+    /// A router asked for the list.
+    Called,
+    /// Its watch is open (`x` 1), was ended (0), or the call failed (-1).
+    Watching,
 }
 
 /// A record.
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -15,6 +15,8 @@
     pub room: usize,
     /// How much longer work takes when the room is full, as a part of itself.
     pub crowding: f64,
+    /// Beyond so many held for each core work takes longer, by this part of itself from twice as many on.
+    pub thrash: (f64, f64),
     /// The share of its capacity that it starts with, and when it has all.
     pub cold: (f64, Span),
     /// Cold, it falls when it is sent more than this multiple of its capacity for so long.
@@ -76,6 +78,8 @@
     pub slow: f64,
     running: Vec<Running>,
     waiting: VecDeque<Job>,
+    /// Work of probes and handshakes that is done by what runs next.
+    aside: Span,
     /// What came in the last while of a cold start: when, and how much work.
     sent: VecDeque<(Time, f64)>,
     sent_work: f64,
@@ -93,6 +97,7 @@
             slow: 1.0,
             running: Vec::with_capacity(kind.cores),
             waiting: VecDeque::new(),
+            aside: Span(0),
             sent: VecDeque::new(),
             sent_work: 0.0,
         }
@@ -130,6 +135,17 @@
         self.running.len() + self.waiting.len()
     }
 
+    /// How much of that waits.
+    #[must_use]
+    pub fn waits(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Work beside requests, as of a probe or a handshake: what runs next takes so much longer.
+    pub fn disturb(&mut self, work: Span) {
+        self.aside = Span(self.aside.0.saturating_add(work.0));
+    }
+
     /// Work arrives.
     pub fn come(&mut self, now: Time, job: Job) -> Came {
         if matches!(self.life, Life::Dead | Life::Fallen) {
@@ -151,7 +167,10 @@
 
     fn run(&mut self, now: Time, job: Job) -> Time {
         let crowd = 1.0 + self.kind.crowding * self.waiting.len() as f64 / self.kind.room.max(1) as f64;
-        let takes = job.work.times(self.slow * crowd / (self.kind.speed * self.warmth(now)));
+        let (from, most) = self.kind.thrash;
+        let thrash = 1.0 + most * (self.holds() as f64 / self.kind.cores as f64 / from - 1.0).clamp(0.0, 1.0);
+        let work = Span(job.work.0 + std::mem::take(&mut self.aside).0);
+        let takes = work.times(self.slow * crowd * thrash / (self.kind.speed * self.warmth(now)));
         let ends = now + takes.max(Span(1));
         self.running.push(Running { id: job.id, ends });
         ends
@@ -227,7 +246,7 @@
         if self.life != Life::Dead {
             return false;
         }
-        (self.life, self.started, self.draining) = (Life::Up, Some(now), false);
+        (self.life, self.started, self.draining, self.aside) = (Life::Up, Some(now), false, Span(0));
         true
     }
 }
--- /dev/null
+++ b/crates/fleet/src/service.rs
@@ -0,0 +1,146 @@
+//! What clients got, as operators count it: worth that was answered within the aims, of the worth that was asked for, with all
+//! tries of a client folded into the first; by second, tenant and class. What is beyond a tenant's share counts less.
+
+use crate::scenario::Scenario;
+use crate::traffic::Plan;
+use linnetdeal_core::{Span, Time};
+
+/// Windows of so many seconds are looked at for the worst one.
+const WINDOW: usize = 10;
+/// What a tenant may ask at once, in seconds of its share.
+const BURST: f64 = 1.0;
+
+/// Worth served, and asked for.
+pub type Worth = [f64; 2];
+
+/// The accounting of a run.
+#[derive(Clone, Debug)]
+pub struct Service {
+    begin: Time,
+    classes: Vec<(Span, f64, f64)>,
+    quotas: Vec<f64>,
+    over_share: f64,
+    /// What is left of each tenant's share, and when that was so.
+    left: Vec<(f64, Time)>,
+    /// By second, tenant, whether it is within the share, and class.
+    cells: Vec<Worth>,
+}
+
+impl Service {
+    /// The accounting of a scenario that begins then.
+    #[must_use]
+    pub fn new(scenario: &Scenario, plans: &[Plan], quotas: &[f64], begin: Time) -> Self {
+        let seconds = (scenario.traffic.lasts.0 / 1_000_000) as usize + 2;
+        let tenants = quotas.len().max(1);
+        let classes = plans.iter().map(|of| (of.class.aim, of.class.worth, of.class.late_worth));
+        Self {
+            begin,
+            classes: classes.collect(),
+            quotas: quotas.to_vec(),
+            over_share: scenario.traffic.over_share,
+            left: quotas.iter().map(|quota| (quota * BURST, begin)).collect(),
+            cells: vec![[0.0; 2]; seconds * tenants * 2 * plans.len()],
+        }
+    }
+
+    fn tenants(&self) -> usize {
+        self.quotas.len().max(1)
+    }
+
+    fn cell(&self, at: Time, tenant: Option<usize>, within: bool, class: usize) -> usize {
+        let second = ((at - self.begin).0.max(0) / 1_000_000) as usize;
+        ((second * self.tenants() + tenant.unwrap_or(0)) * 2 + usize::from(within)) * self.classes.len()
+            + class
+    }
+
+    fn worth(&self, class: usize, within: bool) -> f64 {
+        self.classes[class].1 * if within { 1.0 } else { self.over_share }
+    }
+
+    /// A client asks for the first time; gives whether that is within its tenant's share.
+    pub fn asked(&mut self, now: Time, tenant: Option<usize>, class: usize) -> bool {
+        let within = tenant.is_none_or(|tenant| {
+            let (quota, (left, since)) = (self.quotas[tenant], self.left[tenant]);
+            let left = (left + quota * (now - since).0 as f64 / 1e6).min(quota * BURST);
+            let within = left >= 1.0;
+            self.left[tenant] = (left - f64::from(u8::from(within)), now);
+            within
+        });
+        let (cell, worth) = (self.cell(now, tenant, within, class), self.worth(class, within));
+        if let Some(of) = self.cells.get_mut(cell) {
+            of[1] += worth;
+        }
+        within
+    }
+
+    /// It was answered, so long after it had first asked.
+    pub fn served(&mut self, asked: Time, took: Span, tenant: Option<usize>, within: bool, class: usize) {
+        let (aim, _, late) = self.classes[class];
+        let part = if took <= aim { 1.0 } else { late };
+        let (cell, worth) = (self.cell(asked, tenant, within, class), self.worth(class, within));
+        if let Some(of) = self.cells.get_mut(cell) {
+            of[0] += worth * part;
+        }
+    }
+
+    /// The sum over the cells of these places: second, tenant, whether within the share, and class.
+    fn sum(&self, of: impl Fn(usize, usize, bool, usize) -> bool) -> Worth {
+        let (classes, tenants) = (self.classes.len(), self.tenants());
+        let mut sum = [0.0; 2];
+        for (at, cell) in self.cells.iter().enumerate() {
+            let (class, rest) = (at % classes, at / classes);
+            let (within, rest) = (rest % 2 == 1, rest / 2);
+            if of(rest / tenants, rest % tenants, within, class) {
+                sum = [sum[0] + cell[0], sum[1] + cell[1]];
+            }
+        }
+        sum
+    }
+
+    /// The whole run's share.
+    #[must_use]
+    pub fn whole(&self) -> f64 {
+        share(self.sum(|_, _, _, _| true))
+    }
+
+    /// The second in which the worst window of 10 s begins, and its share; windows without a request don't count.
+    #[must_use]
+    pub fn worst(&self) -> (usize, f64) {
+        self.worst_of(|_, _, _| true)
+    }
+
+    fn worst_of(&self, of: impl Fn(usize, bool, usize) -> bool) -> (usize, f64) {
+        let seconds = self.cells.len() / (self.tenants() * 2 * self.classes.len());
+        let by: Vec<Worth> = (0..seconds)
+            .map(|second| self.sum(|at, tenant, within, class| at == second && of(tenant, within, class)))
+            .collect();
+        let asked: Vec<usize> = (0..seconds).filter(|at| by[*at][1] > 0.0).collect();
+        let (Some(first), Some(last)) = (asked.first().copied(), asked.last().copied()) else {
+            return (0, 1.0);
+        };
+        let window = |from: usize| {
+            let part = &by[from..(from + WINDOW).min(last + 1)];
+            (from, share(part.iter().fold([0.0; 2], |sum, of| [sum[0] + of[0], sum[1] + of[1]])))
+        };
+        let starts = first..=(last + 1).saturating_sub(WINDOW).max(first);
+        starts.map(window).min_by(|a, b| a.1.total_cmp(&b.1)).unwrap_or((0, 1.0))
+    }
+
+    /// A class's share in the whole run and in its worst window.
+    #[must_use]
+    pub fn of_class(&self, class: usize) -> [f64; 2] {
+        [share(self.sum(|_, _, _, of| of == class)), self.worst_of(|_, _, of| of == class).1]
+    }
+
+    /// A tenant's share, in the whole run and in its worst window, of what it asked within its part.
+    #[must_use]
+    pub fn of_tenant(&self, tenant: usize) -> [f64; 2] {
+        let of = |at: usize, within: bool| at == tenant && within;
+        [share(self.sum(|_, at, within, _| of(at, within))), self.worst_of(|at, within, _| of(at, within)).1]
+    }
+}
+
+/// Nothing asked for is all served.
+fn share([served, asked]: Worth) -> f64 {
+    if asked > 0.0 { served / asked } else { 1.0 }
+}
--- a/crates/fleet/src/sim.rs
+++ b/crates/fleet/src/sim.rs
@@ -2,12 +2,14 @@
 //! router and membership as the daemon and decides nothing for them.
 
 use crate::agenda::Agenda;
-use crate::audit::{Fresh, Law, Rules};
-use crate::fleet::{Arrival, COLD, Change, Consequence, FALL, Finished, Fleet, Happens};
+use crate::audit::{Fresh, Full, Law, Rules};
+use crate::fleet::{Arrival, Change, Consequence, Finished, Fleet, Happens};
+use crate::list::{self, Called};
 use crate::record::{Record, Sink, What};
-use crate::scenario::Scenario;
+use crate::scenario::{Audit, Customer, Scenario, Wait};
 use crate::server::{Job, Life};
-use crate::traffic::{BACK_MS, Drawn, Plan, Traffic, plans};
+use crate::service::Service;
+use crate::traffic::{Drawn, Plan, Traffic, plans};
 use hdrhistogram::Histogram;
 use linnetdeal_core::membership::{Claim, Doubt, Evidence, Membership, News, SourceId};
 use linnetdeal_core::*;
@@ -19,17 +21,18 @@
 
 /// When a run begins; the positions' zero, too.
 pub const BEGIN: Time = Time(1_000_000_000_000);
-const GRACE: Span = Span::millis(250);
 const SLACK: Span = Span::millis(20);
 const DIAL: Span = Span::millis(250);
-/// What opening a connection takes a box, beside a round trip.
-const HANDSHAKE: Span = Span(2_000);
+/// A router without a watch that has not asked for so long counts as told of what was listed that long before.
+const ASK_EVERY: Span = Span::millis(10_000);
+/// A wake-up that is due already comes after so long.
+const TICK: Span = Span::millis(1);
 /// After the last request has come, a run goes on for so long at the most.
 const AFTER: Span = Span::millis(8_000);
 
-/// The rules that a run is to be held to.
+/// The rules that a scenario's run is to be held to.
 #[must_use]
-pub fn rules() -> Rules {
+pub fn rules(scenario: &Scenario) -> Rules {
     let law = |plan: &Plan| Law {
         fragile: plan.class.effect == Effect::Unsafe,
         write: plan.class.need == Need::Write,
@@ -39,25 +42,98 @@
             Need::Session => Fresh::Session,
             Need::Fresh => Fresh::All,
         },
+        deadline: plan.deadline,
     };
-    Rules { laws: plans().iter().map(law).collect(), grace: GRACE, slack: SLACK, cold: COLD, fall: FALL }
+    let boxes = &scenario.boxes;
+    Rules {
+        laws: plans(scenario).iter().map(law).collect(),
+        grace: scenario.fleet.grace,
+        slack: SLACK,
+        cold: boxes.cold(),
+        fall: boxes.fall(),
+        copies: scenario.fleet.second_copies,
+        carried: scenario.traffic.tokens_carried,
+        asked: scenario.list.asked.then_some(ASK_EVERY),
+        full: (scenario.audit == Audit::Full).then_some(Full {
+            retries: scenario.traffic.retries,
+            cores: boxes.cores,
+            quickest: boxes.speed * (1.0 + boxes.spread),
+        }),
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
 enum Event {
     Arrive,
-    Again { router: u32, try_of: u32 },
-    Reach { attempt: usize, dialed: bool },
+    Again {
+        router: u32,
+        try_of: u32,
+    },
+    Reach {
+        attempt: usize,
+        dialed: bool,
+    },
     Fleet(Happens),
-    Shipped { attempt: usize, life: u32 },
-    Back { attempt: usize, verdict: Verdict, note: Option<Note> },
-    Late { attempt: usize, request: u64, number: u32 },
-    Wake { router: u32, life: u32 },
-    Ask { router: u32, life: u32, server: u32 },
-    Tell { router: u32, life: u32, server: u32, report: Option<[f64; 2]>, verdict: Verdict },
-    Told { router: u32, change: usize },
-    Kill { trouble: usize, router: u32 },
-    Start { router: u32 },
+    Shipped {
+        attempt: usize,
+        life: u32,
+    },
+    Back {
+        attempt: usize,
+        verdict: Verdict,
+        note: Option<Note>,
+    },
+    Late {
+        attempt: usize,
+        request: u64,
+        number: u32,
+    },
+    Wake {
+        router: u32,
+        life: u32,
+    },
+    Ask {
+        router: u32,
+        life: u32,
+        server: u32,
+    },
+    Tell {
+        router: u32,
+        life: u32,
+        server: u32,
+        report: Option<[f64; 3]>,
+        verdict: Verdict,
+    },
+    Told {
+        router: u32,
+        change: usize,
+    },
+    /// The list that is asked says something new; watches bring it; a call for it has come to its end.
+    Publish {
+        change: usize,
+    },
+    News {
+        router: u32,
+        life: u32,
+    },
+    Watch {
+        router: u32,
+        life: u32,
+        failed: bool,
+    },
+    /// A router called off an attempt.
+    Cancelled {
+        attempt: usize,
+        request: u64,
+        number: u32,
+    },
+    Kill {
+        trouble: usize,
+        router: u32,
+    },
+    Start {
+        router: u32,
+    },
 }
 
 /// A pooler in the host.
@@ -70,6 +146,9 @@
     /// Idle connections by box, and the life of the box that they are to.
     idle: HashMap<u32, (u32, u32)>,
     open: HashMap<u64, u32>,
+    /// Where the list is asked: whether a watch is open, and how much of what was published it has brought.
+    watch: bool,
+    seen: usize,
 }
 
 /// A client's request over all its tries.
@@ -81,6 +160,12 @@
     asked: Time,
     tries: u32,
     work: Span,
+    number: u64,
+    tenant: Option<usize>,
+    /// Within its tenant's share.
+    within: bool,
+    /// It heeds a retry-after.
+    heeds: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -95,6 +180,8 @@
     work: Span,
     sent: Time,
     commit: Time,
+    /// A read must see what was committed by then.
+    need: Time,
     over: bool,
 }
 
@@ -123,9 +210,29 @@
     pub end: Time,
     /// When boxes took over as primaries.
     pub promoted: Vec<(Time, u32)>,
+    /// Worth served, by second, tenant and class.
+    pub service: Service,
+    /// Tries of clients, first ones included, that reached a pooler.
+    pub tries: u64,
+    /// First tries that found their pooler dead.
+    pub unreached: u64,
+    /// Calls for the list where it is asked, and those that failed.
+    pub calls: (u64, u64),
 }
 
 impl Outcome {
+    /// First tries that reached a pooler.
+    #[must_use]
+    pub fn first_tries(&self) -> u64 {
+        self.asked.iter().sum::<u64>() - self.unreached
+    }
+
+    /// The number of the class of writes.
+    #[must_use]
+    pub fn writes(&self) -> usize {
+        self.asked.len() - 1
+    }
+
     /// The share of all that was served.
     #[must_use]
     pub fn share(&self) -> f64 {
@@ -139,7 +246,7 @@
     }
 }
 
-/// The number of the class of writes.
+/// The number of the class of writes where the scenario names none.
 pub const WRITES: usize = 4;
 
 /// The host.
@@ -161,7 +268,14 @@
     free_clients: Vec<u32>,
     effects: Vec<Consequence>,
     next_request: u64,
+    next_client: u64,
     surge: f64,
+    list: list::Service,
+    published: Vec<usize>,
+    /// The latest commits of sessions, as their clients know them.
+    tokens: HashMap<u64, Time>,
+    /// Attempts that may be called off, by request and number.
+    out: HashMap<(u64, u32), usize>,
     until: Time,
     outcome: Outcome,
     actions: Vec<Action>,
@@ -181,6 +295,7 @@
     }
     sim.outcome.end = sim.until + AFTER;
     (sim.outcome.promoted, sim.outcome.fallen) = (sim.fleet.promoted, sim.fleet.fallen);
+    sim.outcome.calls = sim.list.calls;
     sim.outcome
 }
 
@@ -188,24 +303,30 @@
     fn new(plan: &'s Scenario, sink: &'s mut S) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(plan.seed);
         let traffic = Traffic::new(plan);
-        let plans = plans();
+        let plans = plans(plan);
+        let tenant = |(of, quota): (&Customer, &f64)| Tenant { name: of.name.clone(), quota: *quota };
+        let fields = if plan.boxes.report_queue { &["x0", "x1", "queue"][..] } else { &["x0", "x1"] };
         let settings = Settings {
+            tenants: plan.tenants.iter().zip(&traffic.quotas).map(tenant).collect(),
+            over_share_worth: plan.traffic.over_share,
+            discovery: if plan.list.asked { Discovery::Ask } else { Discovery::Push },
+            second_copies: plan.fleet.second_copies,
             classes: plans.iter().map(|plan| plan.class.clone()).collect(),
             fleet: traffic.sharing(),
-            checks: Checks::None,
-            tokens: Tokens::Remembered,
+            checks: if plan.boxes.checks { Checks::Refuse } else { Checks::None },
+            tokens: if plan.traffic.tokens_carried { Tokens::Carried } else { Tokens::Remembered },
             zero: BEGIN,
-            report: vec![Field::Position, Field::Primary],
+            report: fields.iter().map(|name| Field::named(name)).collect(),
             max_attempts: 10,
             probes: true,
             cancels: true,
             retry_after: true,
             max_retry_after: Span::millis(2_000),
-            drain_grace: GRACE,
-            cold_share: COLD.0,
-            cold_span: COLD.1,
-            fall_multiple: FALL.0,
-            fall_span: FALL.1,
+            drain_grace: plan.fleet.grace,
+            cold_share: plan.boxes.cold_from,
+            cold_span: plan.boxes.cold_in,
+            fall_multiple: plan.boxes.fall_multiple,
+            fall_span: plan.boxes.fall_for,
             goal: Goal { whole: 0.6, worst_class: 0.2 },
             changes: Fleet::expected(plan),
             ..Settings::default()
@@ -222,6 +343,8 @@
                 wake: None,
                 idle: HashMap::new(),
                 open: HashMap::new(),
+                watch: false,
+                seen: 0,
             })
             .collect();
         let histogram = || Histogram::new_with_bounds(1, 100_000_000, 3).expect("bounds that are in order");
@@ -237,6 +360,10 @@
             fallen: 0,
             end: BEGIN,
             promoted: Vec::new(),
+            service: Service::new(plan, &plans, &traffic.quotas, BEGIN),
+            tries: 0,
+            unreached: 0,
+            calls: (0, 0),
         };
         Self {
             fleet: boxes_of,
@@ -249,7 +376,12 @@
             free_clients: Vec::new(),
             effects: Vec::new(),
             next_request: 1,
+            next_client: 0,
             surge: 1.0,
+            list: list::Service::new(&plan.list),
+            published: Vec::new(),
+            tokens: HashMap::new(),
+            out: HashMap::new(),
             actions: Vec::new(),
             plan,
             plans,
@@ -309,9 +441,13 @@
         let taken = members.take(self.now, SourceId(0), News::Full { claims, view: 0 });
         let pooler = &mut self.poolers[router as usize];
         pooler.members = members;
+        (pooler.watch, pooler.seen) = (false, 0);
         pooler.router = Some(Box::new(Router::new(seed, self.settings.clone())));
         self.feed(router, linnetdeal_core::Event::List(Listing::Full(taken.changed)));
-        // What was told before, and it has missed: a watch brings it at once.
+        // What was told before, and it has missed: a watch brings it at once, or once it is open.
+        if self.plan.list.asked {
+            return;
+        }
         for change in 0..self.fleet.changes.len() {
             if self
                 .traffic
@@ -331,7 +467,7 @@
             group: Some(GroupId(i64::from(host.group))),
             zone: String::new(),
             machine: String::new(),
-            primary: change.primary,
+            primary: change.primary && self.plan.list.roles,
             started: change.started,
             state: change.state,
             evidence: Evidence { stamp: change.number, ..Evidence::default() },
@@ -365,11 +501,20 @@
                 Action::Probe { member } => self.probe(router, &member),
                 Action::Wake { at } => {
                     let pooler = &mut self.poolers[router as usize];
+                    // One that is due by now must not come before time goes on: no clock of a host stands still.
+                    let at = if at > self.now { at } else { self.now + TICK };
                     pooler.wake = Some(at);
                     let life = pooler.life;
-                    self.at(at.max(self.now), Event::Wake { router, life });
+                    self.at(at, Event::Wake { router, life });
+                }
+                Action::Subscribe if self.plan.list.asked => self.subscribe(router),
+                Action::Cancel { request, attempt } if self.plan.fleet.cancels => {
+                    let (request, number) = (request.0, attempt.0);
+                    if let Some(attempt) = self.out.get(&(request, number)).copied() {
+                        self.after(Span(0), Event::Cancelled { attempt, request, number });
+                    }
                 }
-                // No second copies are allowed, and time-outs end attempts here.
+                // Else time-outs end attempts here.
                 Action::Cancel { .. } | Action::Tell { .. } | Action::Subscribe | Action::Log { .. } => {}
             }
         }
@@ -393,6 +538,11 @@
         self.record(What::Sent, router, server, request, i64::from(number), 0);
         self.outcome.sent += 1;
         let way = self.way(router, server);
+        let need = match self.plans[client.class].class.need {
+            Need::Bounded(bound) => self.now - bound,
+            Need::Session => self.tokens.get(&client.session).copied().unwrap_or_default(),
+            Need::Any | Need::Write | Need::Fresh => Time(0),
+        };
         let attempt = Attempt {
             router,
             life,
@@ -404,6 +554,7 @@
             work: client.work,
             sent: self.now,
             commit: self.now,
+            need,
             over: false,
         };
         let at = match self.free.pop() {
@@ -416,7 +567,10 @@
                 self.attempts.len() - 1
             }
         };
-        let takes = if dialed { Span(3 * way.0 + HANDSHAKE.0) } else { way };
+        let takes = if dialed { Span(3 * way.0 + self.plan.boxes.handshake.0) } else { way };
+        if self.plan.fleet.cancels {
+            self.out.insert((request, number), at);
+        }
         self.after(takes, Event::Reach { attempt: at, dialed });
         self.after(timeout.max(Span(1)), Event::Late { attempt: at, request, number });
     }
@@ -436,29 +590,41 @@
 
     fn asked(&mut self, router: u32, client: u32) {
         let of = self.clients[client as usize];
-        let deadline = of.asked + self.plans[of.class].deadline;
+        let (full, patience) = (self.plans[of.class].deadline, self.plan.clients.patience);
+        let mut deadline = of.asked + full;
+        if patience < 1.0 {
+            deadline = deadline.min(self.now + full.times(self.rng.random_range(patience..=1.0)));
+        }
         if self.poolers[router as usize].router.is_none() || deadline <= self.now {
+            self.outcome.unreached += u64::from(of.tries == 0);
             self.over(client, None);
             return;
         }
         let request = self.next_request;
         self.next_request += 1;
         let b = of.class as u32 + 256 * of.group;
+        self.outcome.tries += 1;
+        if self.plan.audit == Audit::Full {
+            self.record(What::Try, router, 0, request, of.number as i64, i64::from(of.tries));
+        }
         self.record(What::Asked, router, b, request, deadline.0, of.session as i64);
         let pooler = &mut self.poolers[router as usize];
         pooler.open.insert(request, client);
         self.outcome.most_open = self.outcome.most_open.max(self.clients.len() - self.free_clients.len());
-        let session = matches!(self.plans[of.class].class.need, Need::Write | Need::Session);
+        let need = self.plans[of.class].class.need;
+        let session = matches!(need, Need::Write | Need::Session);
+        let wrote = self.tokens.get(&of.session).filter(|_| need == Need::Session);
+        let last_write = wrote.map(|at| self.now - *at);
         self.feed(
             router,
             linnetdeal_core::Event::Request(Request {
                 id: RequestId(request),
                 class: ClassId(of.class),
-                tenant: None,
+                tenant: of.tenant.map(TenantId),
                 session: session.then_some(SessionKey(of.session)),
                 left: deadline - self.now,
                 group: GroupId(i64::from(of.group)),
-                last_write: None,
+                last_write,
                 cost: None,
             }),
         );
@@ -476,7 +642,12 @@
             return;
         }
         of.tries += 1;
-        let wait = Span::millis(self.rng.random_range(BACK_MS)).max(refused.unwrap_or_default());
+        let (clients, heeds) = (&self.plan.clients, of.heeds);
+        let longer = if clients.wait == Wait::Exponential { 1 << (of.tries - 1).min(16) } else { 1 };
+        let ms = |of: Span| of.0 / 1_000;
+        let most = ms(clients.wait_most).max(ms(clients.wait_least) + 1);
+        let drawn = Span::millis(self.rng.random_range(ms(clients.wait_least)..most) * longer);
+        let wait = drawn.max(refused.filter(|_| heeds).unwrap_or_default());
         self.after(wait, Event::Again { router, try_of: client });
     }
 
@@ -485,6 +656,7 @@
         let of = self.clients[client as usize];
         if let Some(at) = served {
             self.outcome.served[of.class] += 1;
+            self.outcome.service.served(of.asked, at - of.asked, of.tenant, of.within, of.class);
             let took = (at - of.asked).0.max(1).unsigned_abs();
             self.outcome.latency[of.class].saturating_record(took);
             let second = ((of.asked - BEGIN).0 / 1_000_000) as usize;
@@ -500,8 +672,14 @@
         if self.now + gap < self.until {
             self.after(gap, Event::Arrive);
         }
-        let Drawn { class, session, group, router, work } = self.traffic.draw(&mut self.rng);
-        let client = Client { class, session, group, asked: self.now, tries: 0, work };
+        let Drawn { class, session, group, router, work, tenant } = self.traffic.draw(&mut self.rng);
+        let share = self.plan.clients.heeds;
+        let heeds = share >= 1.0 || self.rng.random::<f64>() < share;
+        let within = self.outcome.service.asked(self.now, tenant, class);
+        self.next_client += 1;
+        let number = self.next_client;
+        let client =
+            Client { class, session, group, asked: self.now, tries: 0, work, number, tenant, within, heeds };
         let at = match self.free_clients.pop() {
             Some(at) => {
                 self.clients[at as usize] = client;
@@ -535,7 +713,7 @@
                 let verdict = if dialed { Verdict::ConnectFailed } else { Verdict::Reset };
                 return self.answer(at, verdict, None);
             }
-            Life::Paused(_) if dialed => {
+            Life::Paused(_) if dialed && !host.hangs => {
                 self.after(DIAL, Event::Back { attempt: at, verdict: Verdict::Unreachable, note: None });
                 return;
             }
@@ -544,16 +722,36 @@
         }
         self.attempts[at].server_life = host.life;
         self.record(What::Came, of.router, of.server, of.request, of.work.0, 0);
+        if dialed {
+            self.fleet.hosts[of.server as usize].server.disturb(self.plan.boxes.handshake_work);
+        }
+        if self.behind(&of) && self.fleet.hosts[of.server as usize].server.life() == Life::Up {
+            let note = self.fleet.note(of.server, self.now);
+            return self.answer(at, Verdict::Miss, Some(note));
+        }
         let (job, write) = (Job { id: at as u64, work: of.work }, self.is_write(of.class));
         let came = self.fleet.come(self.now, of.server, job, write, &mut self.rng, &mut self.effects);
         match came {
-            Arrival::Taken => {}
+            Arrival::Taken => self.record_job(What::Took, &of, of.work.0),
             Arrival::Answered(verdict, note) => self.answer(at, verdict, Some(note)),
             Arrival::Broken => self.answer(at, Verdict::Reset, None),
         }
         self.follow();
     }
 
+    /// Whether a box that checks its reads is too far behind for this one.
+    fn behind(&mut self, of: &Attempt) -> bool {
+        self.plan.boxes.checks
+            && !self.is_write(of.class)
+            && self.fleet.position(of.server, self.now) < of.need
+    }
+
+    fn record_job(&mut self, what: What, of: &Attempt, x: i64) {
+        if self.plan.audit == Audit::Full {
+            self.record(what, of.router, of.server, of.request, x, i64::from(of.number));
+        }
+    }
+
     fn is_write(&self, class: usize) -> bool {
         self.plans[class].class.need == Need::Write
     }
@@ -565,13 +763,18 @@
             match effect {
                 Consequence::At(at, what) => self.at(at, Event::Fleet(what)),
                 Consequence::Record(what, server, request, x) => self.record(what, 0, server, request, x, 0),
-                Consequence::Lost(id) => self.answer(id as usize, Verdict::Reset, None),
+                Consequence::Lost(id) => {
+                    let of = self.attempts[id as usize];
+                    self.record_job(What::Lost, &of, 0);
+                    self.answer(id as usize, Verdict::Reset, None);
+                }
                 Consequence::Through(server, id) => self.through(server, id as usize),
                 Consequence::Listed(change, noticed) => self.listed(change, noticed),
                 // Its connections are told from those of its earlier life, and what it holds waits in the model.
                 Consequence::Lives(_) => {}
                 Consequence::Kill(at, trouble, router) => self.at(at, Event::Kill { trouble, router }),
                 Consequence::Surge(factor) => self.surge = factor,
+                Consequence::Overbooked(factor) => self.overbooked(factor),
             }
         }
         self.effects = effects;
@@ -579,6 +782,12 @@
 
     fn through(&mut self, server: u32, at: usize) {
         let of = self.attempts[at];
+        self.record_job(What::Through, &of, 0);
+        // It came while the box stood still, and could not be turned away.
+        if self.behind(&of) {
+            let note = self.fleet.note(of.server, self.now);
+            return self.answer(at, Verdict::Miss, Some(note));
+        }
         match self.fleet.finish(self.now, server, self.is_write(of.class)) {
             Finished::Read(note, position) => {
                 self.attempts[at].commit = position;
@@ -595,7 +804,72 @@
         }
     }
 
+    /// A router asks for the list, and to be told of what changes.
+    fn subscribe(&mut self, router: u32) {
+        self.record(What::Called, router, 0, 0, 0, 0);
+        let life = self.poolers[router as usize].life;
+        let (at, failed) = match self.list.call(self.now) {
+            Called::Answered(at) => (at, false),
+            Called::Failed(at) => (at, true),
+        };
+        self.at(at, Event::Watch { router, life, failed });
+    }
+
+    fn watch(&mut self, router: u32, life: u32, failed: bool) {
+        if self.poolers[router as usize].life != life || self.poolers[router as usize].router.is_none() {
+            return;
+        }
+        self.poolers[router as usize].watch = !failed;
+        self.record(What::Watching, router, 0, 0, if failed { -1 } else { 1 }, 0);
+        let answer = if failed { Listing::Failed } else { Listing::Changes(Vec::new()) };
+        self.feed(router, linnetdeal_core::Event::List(answer));
+        self.news(router, life);
+    }
+
+    /// A watch brings what was published since it last did.
+    fn news(&mut self, router: u32, life: u32) {
+        let pooler = &self.poolers[router as usize];
+        if pooler.life != life || !pooler.watch {
+            return;
+        }
+        while let Some(change) = self.published.get(self.poolers[router as usize].seen).copied() {
+            self.poolers[router as usize].seen += 1;
+            let group = self.fleet.hosts[self.fleet.changes[change].server as usize].group;
+            if self.traffic.reaches(router, group) {
+                self.told(router, change);
+            }
+        }
+    }
+
+    fn publish(&mut self, change: usize) {
+        let of = self.fleet.changes[change];
+        let up = i64::from(of.state == ListState::Healthy);
+        self.record(What::Published, 0, of.server, 0, up, 0);
+        self.published.push(change);
+        let out = self.list.news(self.now);
+        for router in 0..self.poolers.len() as u32 {
+            let life = self.poolers[router as usize].life;
+            if self.poolers[router as usize].watch {
+                self.at(out + self.traffic.hears_after(router), Event::News { router, life });
+            }
+        }
+    }
+
+    /// All watches end, and calls take so many times as long; or it is over.
+    fn overbooked(&mut self, factor: f64) {
+        self.list.slow = factor;
+        for router in 0..self.poolers.len() as u32 {
+            if factor > 1.0 && std::mem::take(&mut self.poolers[router as usize].watch) {
+                self.record(What::Watching, router, 0, 0, 0, 0);
+                self.feed(router, linnetdeal_core::Event::List(Listing::Failed));
+            }
+        }
+    }
+
     fn listed(&mut self, change: usize, noticed: Time) {
+        if self.plan.list.asked {
+            return self.at(noticed, Event::Publish { change });
+        }
         let group = self.fleet.hosts[self.fleet.changes[change].server as usize].group;
         for router in 0..self.poolers.len() as u32 {
             if self.traffic.reaches(router, group) {
@@ -634,11 +908,16 @@
 
     fn ends(&mut self, of: Attempt, verdict: Verdict, note: Option<Note>) {
         self.record(What::Over, of.router, of.server, of.request, i64::from(of.number), 0);
+        self.out.remove(&(of.request, of.number));
         let client = self.poolers[of.router as usize].open.get(&of.request).copied();
         let served = verdict == Verdict::Ok && client.is_some();
         if let Some(client) = client.filter(|_| served) {
             // The commit of a write, the position that a read was answered from: as they are, not as a note rounds them.
             self.record(What::Served, of.router, of.server, of.request, of.commit.0, 0);
+            if self.plan.traffic.tokens_carried && self.is_write(of.class) {
+                let token = self.tokens.entry(self.clients[client as usize].session).or_insert(of.commit);
+                *token = of.commit.max(*token);
+            }
             let pooler = &mut self.poolers[of.router as usize];
             pooler.open.remove(&of.request);
             pooler.open.remove(&(of.request | COUNT));
@@ -670,15 +949,30 @@
         self.ends(of, Verdict::Timeout, None);
     }
 
+    /// What was called off has ended for its router; a box that has it works on.
+    fn cancelled(&mut self, at: usize, request: u64, number: u32) {
+        let of = self.attempts[at];
+        if of.over || (of.request, of.number) != (request, number) {
+            return;
+        }
+        self.attempts[at].over = true;
+        if self.poolers[of.router as usize].life == of.life {
+            self.ends(of, Verdict::Cancelled, None);
+        }
+    }
+
     fn ask(&mut self, router: u32, life: u32, server: u32) {
         let (verdict, report) = match self.fleet.hosts[server as usize].server.life() {
             Life::Dead | Life::Fallen => (Verdict::ConnectFailed, None),
-            Life::Paused(_) => {
+            Life::Paused(_) if !self.fleet.hosts[server as usize].hangs => {
                 let verdict = Verdict::Unreachable;
                 self.after(DIAL, Event::Tell { router, life, server, report: None, verdict });
                 return;
             }
-            Life::Up => (Verdict::Ok, self.fleet.report(server, self.now)),
+            Life::Up | Life::Paused(_) => {
+                self.fleet.hosts[server as usize].server.disturb(self.plan.boxes.probe_work);
+                (Verdict::Ok, self.fleet.report(server, self.now))
+            }
         };
         let way = self.way(router, server);
         self.after(way, Event::Tell { router, life, server, report, verdict });
@@ -705,7 +999,7 @@
             return;
         }
         pooler.life += 1;
-        (pooler.wake, pooler.idle) = (None, HashMap::new());
+        (pooler.wake, pooler.idle, pooler.watch) = (None, HashMap::new(), false);
         let mut open: Vec<(u64, u32)> = std::mem::take(&mut pooler.open).into_iter().collect();
         open.sort_unstable();
         self.record(What::Killed, router, 0, 0, 0, 0);
@@ -742,12 +1036,17 @@
             Event::Tell { router, life, server, report, verdict } => {
                 if self.poolers[router as usize].life == life {
                     let member = self.names[server as usize].clone();
-                    let report = report.map(|report| report.to_vec());
+                    let fields = self.settings.report.len();
+                    let report = report.map(|report| report[..fields].to_vec());
                     let took = Span(1_000);
                     self.feed(router, linnetdeal_core::Event::Probed { member, verdict, took, report });
                 }
             }
             Event::Told { router, change } => self.told(router, change),
+            Event::Publish { change } => self.publish(change),
+            Event::News { router, life } => self.news(router, life),
+            Event::Watch { router, life, failed } => self.watch(router, life, failed),
+            Event::Cancelled { attempt, request, number } => self.cancelled(attempt, request, number),
             Event::Kill { trouble, router } => self.kill(trouble, router),
             Event::Start { router } => self.start(router),
         }
--- a/crates/fleet/src/traffic.rs
+++ b/crates/fleet/src/traffic.rs
@@ -1,14 +1,63 @@
 //! What clients ask, and of whom: drawn from one generator in a fixed order, so that every host of a scenario has the same.
 
-use crate::scenario::Scenario;
+use crate::scenario::{Data, OwnClass, Scenario, Spread};
 use linnetdeal_core::{Class, Effect, Need, Span};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
-use rand_distr::{Distribution, Exp1, Zipf};
+use rand_distr::{Distribution, Exp1, LogNormal, Zipf};
 
 /// What a client that may ask again waits at the least, in ms.
 pub const BACK_MS: std::ops::Range<i64> = 10..80;
 
+/// No request has more work than this multiple of its class's mean.
+const MOST_WORK: f64 = 20.0;
+/// Sessions of different tenants differ by so much at the least.
+const SESSIONS_OF_A_TENANT: u64 = 1 << 40;
+
+/// The work of a class's requests on a standard core, in us.
+#[derive(Clone, Debug)]
+pub enum Work {
+    /// Anything between.
+    Between(std::ops::Range<i64>),
+    /// Exponential, with this mean.
+    Exponential(f64),
+    /// Lognormal, with this mean.
+    Lognormal(f64, LogNormal<f64>),
+}
+
+impl Work {
+    fn of(class: &OwnClass) -> Self {
+        let mean = class.work.0 as f64;
+        let variance = (1.0 + class.cv * class.cv).ln();
+        match (class.spread, LogNormal::new(mean.ln() - variance / 2.0, variance.sqrt())) {
+            (Spread::Lognormal, Ok(of)) => Self::Lognormal(mean, of),
+            _ => Self::Exponential(mean),
+        }
+    }
+
+    /// The mean, in seconds.
+    #[must_use]
+    pub fn mean(&self) -> f64 {
+        match self {
+            Self::Between(range) => (range.start + range.end) as f64 / 2e6,
+            Self::Exponential(mean) | Self::Lognormal(mean, _) => mean / 1e6,
+        }
+    }
+
+    /// That of one request.
+    pub fn draw(&self, rng: &mut ChaCha8Rng) -> Span {
+        let most = |drawn: f64, mean: f64| Span((drawn.min(MOST_WORK * mean) as i64).max(1));
+        match self {
+            Self::Between(range) => Span(rng.random_range(range.clone())),
+            Self::Exponential(mean) => {
+                let drawn: f64 = Exp1.sample(rng);
+                most(drawn * mean, *mean)
+            }
+            Self::Lognormal(mean, of) => most(of.sample(rng), *mean),
+        }
+    }
+}
+
 /// A class of the model: what a client asks of it, and the share of requests that it is.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -16,15 +65,45 @@
     pub class: Class,
     /// Its share.
     pub share: f64,
-    /// The work of one on a standard core, in us.
-    pub work: std::ops::Range<i64>,
+    /// The work of one.
+    pub work: Work,
     /// How long a client waits.
     pub deadline: Span,
 }
 
-/// All classes, writes last.
+/// All classes of a scenario, writes last.
 #[must_use]
-pub fn plans() -> Vec<Plan> {
+pub fn plans(scenario: &Scenario) -> Vec<Plan> {
+    if scenario.classes.is_empty() {
+        return portal();
+    }
+    let all: f64 = scenario.classes.iter().map(|of| of.share).sum();
+    let plan = |of: &OwnClass| Plan {
+        class: Class {
+            name: of.name.clone(),
+            effect: if of.once { Effect::Unsafe } else { Effect::Safe },
+            need: match of.need {
+                Data::Any => Need::Any,
+                Data::Bounded => Need::Bounded(of.bound),
+                Data::Session => Need::Session,
+                Data::Fresh => Need::Fresh,
+                Data::Write => Need::Write,
+            },
+            aim: of.aim,
+            aim_stretch: 0.0,
+            worth: of.worth,
+            late_worth: of.late_worth,
+        },
+        share: of.share / all,
+        work: Work::of(of),
+        deadline: of.deadline,
+    };
+    scenario.classes.iter().map(plan).collect()
+}
+
+/// The classes of a scenario that names none.
+#[must_use]
+pub fn portal() -> Vec<Plan> {
     let plan = |name: &str, need, effect, share, aim, deadline, worth, late, work| Plan {
         class: Class {
             name: name.into(),
@@ -36,7 +115,7 @@
             late_worth: late,
         },
         share,
-        work,
+        work: Work::Between(work),
         deadline: Span::millis(deadline),
     };
     let bound = Need::Bounded(Span::millis(1_500));
@@ -63,6 +142,8 @@
     pub router: u32,
     /// What a box has to do for it on a standard core.
     pub work: Span,
+    /// Whose it is, where the scenario has tenants.
+    pub tenant: Option<usize>,
 }
 
 /// The traffic of a scenario.
@@ -72,6 +153,10 @@
     pub plans: Vec<Plan>,
     /// Requests a second, without a surge.
     pub rate: f64,
+    /// What each tenant may ask in a second.
+    pub quotas: Vec<f64>,
+    /// The part of all requests that is each tenant's.
+    asks: Vec<f64>,
     /// Poolers come in so many sets, each of which serves its own groups.
     pub sets: usize,
     zipf: Option<Zipf<f64>>,
@@ -84,13 +169,9 @@
     /// That of a scenario.
     #[must_use]
     pub fn new(plan: &Scenario) -> Self {
-        let (boxes, fleet, plans) = (&plan.boxes, &plan.fleet, plans());
+        let (boxes, fleet, plans) = (&plan.boxes, &plan.fleet, plans(plan));
         let mean = |of: &dyn Fn(&Plan) -> bool| -> f64 {
-            plans
-                .iter()
-                .filter(|plan| of(plan))
-                .map(|plan| plan.share * (plan.work.start + plan.work.end) as f64 / 2e6)
-                .sum()
+            plans.iter().filter(|plan| of(plan)).map(|plan| plan.share * plan.work.mean()).sum()
         };
         let one = boxes.cores as f64 * boxes.speed;
         let primary = mean(&|plan| matches!(plan.class.need, Need::Write | Need::Fresh));
@@ -102,7 +183,12 @@
         let reach = if fleet.reach == 0 { fleet.groups } else { fleet.reach };
         let sets = fleet.groups.div_ceil(reach).clamp(1, fleet.poolers);
         let (sessions, groups, poolers) = (plan.traffic.sessions, fleet.groups, fleet.poolers);
-        Self { plans, rate, sets, zipf, sessions, groups, poolers }
+        let shares: f64 = plan.tenants.iter().map(|of| of.share).sum();
+        let quota = |share: f64| able * plan.traffic.quota * share / shares;
+        let quotas = plan.tenants.iter().map(|of| quota(of.share)).collect();
+        let usage: f64 = plan.tenants.iter().map(|of| of.share * of.usage).sum();
+        let asks = plan.tenants.iter().map(|of| of.share * of.usage / usage).collect();
+        Self { plans, rate, quotas, asks, sets, zipf, sessions, groups, poolers }
     }
 
     /// How many poolers share a group.
@@ -131,10 +217,12 @@
 
     /// What is asked.
     pub fn draw(&self, rng: &mut ChaCha8Rng) -> Drawn {
+        let tenant = (!self.asks.is_empty()).then(|| pick(&self.asks, rng));
         let session = match &self.zipf {
             Some(zipf) => zipf.sample(rng) as u64,
             None => rng.random_range(1..=self.sessions),
         };
+        let session = session + tenant.unwrap_or(0) as u64 * SESSIONS_OF_A_TENANT;
         let mixed = session.wrapping_mul(0x9E37_79B9_7F4A_7C15);
         let group = ((mixed >> 33) % self.groups as u64) as u32;
         let set = group as usize % self.sets;
@@ -149,7 +237,17 @@
                 dice < 0.0
             })
             .unwrap_or(0);
-        let work = Span(rng.random_range(self.plans[class].work.clone()));
-        Drawn { class, session, group, router, work }
+        let work = self.plans[class].work.draw(rng);
+        Drawn { class, session, group, router, work, tenant }
     }
 }
+
+/// One of these, by their parts of 1.
+fn pick(parts: &[f64], rng: &mut ChaCha8Rng) -> usize {
+    let mut dice = rng.random::<f64>();
+    let at = parts.iter().position(|part| {
+        dice -= part;
+        dice < 0.0
+    });
+    at.unwrap_or(0)
+}
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -113,6 +113,32 @@
     assert!(world.fleet.promoted.is_empty());
 }
 
+#[test]
+fn a_box_that_hangs_takes_work_and_answers_nothing_but_probes() {
+    let mut world = World::new("{at: \"1s\", what: \"hang\", who: \"replica 0\", lasts: \"5s\"}");
+    world.until(at(3_000));
+    assert_eq!(world.come(at(3_000), 1, 7, false), Arrival::Taken);
+    assert!(world.fleet.report(1, at(3_000)).is_some_and(|[_, _, waits]| waits == 1.0));
+    world.until(at(5_999));
+    assert_eq!(world.through(), [0_u64; 0]);
+    world.until(at(7_000));
+    assert_eq!(world.through(), [7]);
+}
+
+#[test]
+fn what_is_deployed_drains_ends_and_starts_cold() {
+    let mut world =
+        World::new("{at: \"1s\", what: \"deploy\", who: \"replica 0\", lasts: \"2s\", away: \"1s\"}");
+    world.until(at(2_000));
+    assert!(matches!(world.come(at(2_000), 1, 7, false), Arrival::Answered(Verdict::Full, _)));
+    world.until(at(3_500));
+    assert_eq!(world.fleet.hosts[1].server.life(), Life::Dead);
+    world.until(at(4_000));
+    assert!(world.fleet.hosts[1].server.warmth(at(4_000)) < 0.2);
+    let states: Vec<ListState> = world.listed().into_iter().map(|(_, state, _)| state).collect();
+    assert_eq!(states, [ListState::Draining, ListState::Gone, ListState::Healthy]);
+}
+
 #[test]
 fn a_planned_change_turns_writes_away_and_loses_none_that_was_committed() {
     let mut world = World::new("{at: \"1s\", what: \"drain\", who: \"primary\"}");
--- a/crates/fleet/tests/model.rs
+++ b/crates/fleet/tests/model.rs
@@ -16,6 +16,7 @@
     speed: 1.0,
     room: 3,
     crowding: 0.0,
+    thrash: (4.0, 0.0),
     cold: (0.16, Span::millis(16_000)),
     fall: (2.5, Span::millis(3_000)),
 };
@@ -135,8 +136,8 @@
     (log.into_records(), digest)
 }
 
-fn audit(records: &[Record]) -> Verdict {
-    let mut auditor = Auditor::new(sim::rules());
+fn audit(scenario: &Scenario, records: &[Record]) -> Verdict {
+    let mut auditor = Auditor::new(sim::rules(scenario));
     records.iter().for_each(|record| auditor.take(*record));
     auditor.verdict(faults::end(records))
 }
@@ -156,12 +157,14 @@
 
 #[test]
 fn the_auditor_finds_each_seeded_fault_and_none_where_there_is_none() {
-    let (records, _) = records(&scenario(TROUBLED));
-    let clean = audit(&records);
+    let scenario = scenario(TROUBLED);
+    let (records, _) = records(&scenario);
+    let clean = audit(&scenario, &records);
     assert!(clean.broken.is_empty() && clean.asked > 500, "{clean:?}");
     for fault in Fault::ALL {
-        let seeded = fault.put(&records, &sim::rules()).unwrap_or_else(|| panic!("{fault:?} finds no place"));
-        let verdict = audit(&seeded);
+        let seeded =
+            fault.put(&records, &sim::rules(&scenario)).unwrap_or_else(|| panic!("{fault:?} finds no place"));
+        let verdict = audit(&scenario, &seeded);
         assert!(verdict.broken.contains_key(&fault.rule()), "{fault:?}: {:?}", verdict.broken);
     }
 }
--- a/crates/lab/src/emulator.rs
+++ b/crates/lab/src/emulator.rs
@@ -5,7 +5,8 @@
 use linnetdeal_fleet::faults::{self, Fault};
 use linnetdeal_fleet::record::{Log, Record, Sink};
 use linnetdeal_fleet::scenario::Scenario;
-use linnetdeal_fleet::sim::{self, Outcome, WRITES};
+use linnetdeal_fleet::sim::{self, Outcome};
+use linnetdeal_fleet::traffic;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
@@ -36,6 +37,10 @@
     pub took: Duration,
     /// Checks of its own that it missed.
     pub missed: Vec<String>,
+    /// The names of its classes, writes last, and of its tenants.
+    pub classes: Vec<String>,
+    /// The names of its tenants.
+    pub tenants: Vec<String>,
 }
 
 impl Played {
@@ -51,9 +56,9 @@
             self.name,
             asked.iter().sum::<u64>(),
             self.outcome.share(),
-            self.outcome.share_of(WRITES),
+            self.outcome.share_of(self.outcome.writes()),
             p99(0),
-            p99(WRITES),
+            p99(self.outcome.writes()),
             self.verdict.peak,
             *events as f64 / self.took.as_secs_f64() / 1e6,
             if broken.is_empty() {
@@ -64,9 +69,36 @@
             self.missed.iter().map(|words| format!("  MISSED {words}")).collect::<String>(),
         )
     }
+
+    /// What clients got in worth, by class and tenant, in the whole run and in the worst 10 s, and how often it was asked for.
+    #[must_use]
+    pub fn service(&self) -> String {
+        let Outcome { service, asked, tries, calls, probes, sent, .. } = &self.outcome;
+        let first = asked.iter().sum::<u64>().max(1) as f64;
+        let (from, worst) = service.worst();
+        let mut words = format!(
+            "    service {:.3}, worst 10 s {worst:.3} from {from} s; tries a request {:.2}, attempts {:.2}, probes {:.2}",
+            service.whole(),
+            *tries as f64 / first,
+            *sent as f64 / first,
+            *probes as f64 / first,
+        );
+        if calls.0 > 0 {
+            words += &format!("; {} calls for the list, {} failed", calls.0, calls.1);
+        }
+        let classes = self.classes.iter().enumerate().map(|(at, name)| (name, service.of_class(at)));
+        let tenants = self.tenants.iter().enumerate().map(|(at, name)| (name, service.of_tenant(at)));
+        for (name, [whole, worst]) in classes.chain(tenants) {
+            words += &format!("\n        {name:<16} {whole:.3}, worst 10 s {worst:.3}");
+        }
+        words
+    }
 }
 
-/// Reads a scenario.
+/// What scenarios of a folder share: definitions that each may refer to.
+const WORLD: &str = "world.cue";
+
+/// Reads a scenario, with what stands in `world.cue` beside it.
 ///
 /// # Errors
 ///
@@ -74,7 +106,11 @@
 pub fn load(path: &Path) -> io::Result<Scenario> {
     let bytes =
         std::fs::read(path).map_err(|error| io::Error::other(format!("{}: {error}", path.display())))?;
-    Scenario::decode(&path.display().to_string(), &bytes).map_err(io::Error::other)
+    let world = match std::fs::read_to_string(path.with_file_name(WORLD)) {
+        Err(error) if error.kind() == io::ErrorKind::NotFound => String::new(),
+        world => world?,
+    };
+    Scenario::decode_in(&world, &path.display().to_string(), &bytes).map_err(io::Error::other)
 }
 
 /// All scenarios of a folder, by name.
@@ -87,6 +123,7 @@
         std::fs::read_dir(folder)?.map(|entry| Ok(entry?.path())).collect::<io::Result<Vec<PathBuf>>>()?;
     let mut files: Vec<_> =
         files.into_iter().filter(|path| path.extension().is_some_and(|of| of == "cue")).collect();
+    files.retain(|path| !path.ends_with(WORLD));
     files.sort();
     files.iter().map(|path| load(path)).collect()
 }
@@ -100,22 +137,26 @@
 /// The same, with the troubles marked.
 #[must_use]
 pub fn play_with(scenario: &Scenario, marks: &mut Marks) -> Played {
-    let (mut log, mut auditor) = (Log::default(), Auditor::new(sim::rules()));
+    let (mut log, mut auditor) = (Log::default(), Auditor::new(sim::rules(scenario)));
     let began = Instant::now();
     let outcome = sim::run(scenario, &mut All(&mut log, &mut auditor, marks));
     let took = began.elapsed();
-    let verdict = auditor.verdict(outcome.end);
+    let verdict = auditor.verdict(outcome.end).counted(&sim::rules(scenario), outcome.first_tries());
     let mut missed = Vec::new();
     for (what, share, wanted) in [
         ("served", outcome.share(), scenario.checks.served),
-        ("writes", outcome.share_of(WRITES), scenario.checks.writes),
+        ("writes", outcome.share_of(outcome.writes()), scenario.checks.writes),
+        ("service", outcome.service.whole(), scenario.checks.service),
+        ("worst 10 s", outcome.service.worst().1, scenario.checks.worst),
     ] {
         if share < wanted {
             missed.push(format!("{what} {share:.3} of {wanted}"));
         }
     }
     let digest = (log.digest(), log.len());
-    Played { name: scenario.name.clone(), outcome, verdict, digest, took, missed }
+    let classes = traffic::plans(scenario).into_iter().map(|of| of.class.name).collect();
+    let tenants = scenario.tenants.iter().map(|of| of.name.clone()).collect();
+    Played { name: scenario.name.clone(), outcome, verdict, digest, took, missed, classes, tenants }
 }
 
 /// Keeps what concerns a request.
@@ -141,15 +182,16 @@
 #[must_use]
 pub fn seeded(scenario: &Scenario) -> (usize, usize) {
     let mut log = Log::keeping();
-    sim::run(scenario, &mut log);
-    let records = log.into_records();
+    let first_tries = sim::run(scenario, &mut log).first_tries();
+    let (records, rules) = (log.into_records(), sim::rules(scenario));
     let (mut found, mut put) = (0, 0);
-    for fault in Fault::ALL {
-        let Some(changed) = fault.put(&records, &sim::rules()) else { continue };
+    for fault in Fault::ALL.into_iter().chain(Fault::FULL) {
+        let Some(changed) = fault.put(&records, &rules) else { continue };
         put += 1;
-        let mut auditor = Auditor::new(sim::rules());
+        let mut auditor = Auditor::new(rules.clone());
         changed.iter().for_each(|record| auditor.take(*record));
-        found += usize::from(auditor.verdict(faults::end(&changed)).broken.contains_key(&fault.rule()));
+        let verdict = auditor.verdict(faults::end(&changed)).counted(&rules, first_tries);
+        found += usize::from(verdict.broken.contains_key(&fault.rule()));
     }
     (found, put)
 }
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -4,7 +4,6 @@
 use crate::emulator::{self, Played};
 use indicatif::{ProgressBar, ProgressStyle};
 use linnetdeal_fleet::scenario::Scenario;
-use linnetdeal_fleet::sim::WRITES;
 use linnetdeal_operator::{Fault, Faults, unify};
 use parquet::column::writer::ColumnWriter;
 use parquet::data_type::ByteArray;
@@ -136,9 +135,9 @@
     let p99 = |class: usize| played.outcome.latency[class].value_at_quantile(0.99) as f64 / 1_000.0;
     [
         played.outcome.share(),
-        played.outcome.share_of(WRITES),
+        played.outcome.share_of(played.outcome.writes()),
         p99(0),
-        p99(WRITES),
+        p99(played.outcome.writes()),
         played.outcome.probes as f64 / played.outcome.asked.iter().sum::<u64>().max(1) as f64,
         played.verdict.peak,
         played.verdict.broken.values().sum::<u64>() as f64,
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand};
 use linnetdeal_fleet::scenario::Scenario;
 use linnetdeal_fleet::sim::WRITES;
+use linnetdeal_fleet::traffic;
 use linnetdeal_lab::at_once;
 use linnetdeal_lab::clients::CLASSES;
 use linnetdeal_lab::emulator;
@@ -306,11 +307,14 @@
         return Ok(true);
     }
     let mut marks = match report {
-        Some(_) => plot::Marks::drawing(linnetdeal_fleet::sim::BEGIN),
+        Some(_) => {
+            plot::Marks::drawing(linnetdeal_fleet::sim::BEGIN).writes(traffic::plans(&scenario).len() - 1)
+        }
         None => plot::Marks::default(),
     };
     let played = emulator::play_with(&scenario, &mut marks);
     say!("{}", played.line());
+    say!("{}", played.service());
     if let Some(report) = report {
         plot::write_whole(report, &plot::report(&played, &marks)?)?;
     }
@@ -453,18 +457,29 @@
 "#;
 
 fn emulator_proof(folder: &Path, small: bool) -> Result<bool, Failure> {
-    let scenarios = emulator::library(folder)?;
+    let mut scenarios = emulator::library(folder)?;
+    let freight = folder.join("freight");
+    if freight.is_dir() {
+        scenarios.extend(emulator::library(&freight)?);
+    }
     let once = at_once(&scenarios, 1, emulator::play);
     let again = at_once(&scenarios, 4, emulator::play);
     let identical = once.iter().zip(&again).all(|(one, other)| one.digest == other.digest);
     let (mut broken, mut missed) = (0, 0);
     for played in &once {
         say!("{}", played.line());
+        if !played.tenants.is_empty() {
+            say!("{}", played.service());
+        }
+        if let Some((rule, record)) = &played.verdict.first {
+            say!("    first: {rule:?} by {record:?}");
+        }
         broken += played.verdict.broken.values().sum::<u64>();
         missed += played.missed.len();
     }
     let (mut found, mut put) = (0, 0);
-    for scenario in scenarios.iter().filter(|of| of.name == "primary-dies" || of.name == "planned") {
+    let seeded = ["primary-dies", "planned", "freight-crash", "freight-deploy"];
+    for scenario in scenarios.iter().filter(|of| seeded.contains(&of.name.as_str())) {
         let (more, of) = emulator::seeded(scenario);
         (found, put) = (found + more, put + of);
     }
--- a/crates/lab/src/plot.rs
+++ b/crates/lab/src/plot.rs
@@ -1,7 +1,6 @@
 //! A run as one HTML file that needs no network: its figures, and over time the served share, load, times by class, what
 //! boxes are sent and writes that are held, with the troubles marked.
 
-use crate::clients::CLASSES;
 use crate::emulator::Played;
 use linnetdeal_core::Time;
 use linnetdeal_fleet::record::{Record, Sink, What};
@@ -40,7 +39,16 @@
     /// For charts of a run that begins then.
     #[must_use]
     pub fn drawing(begin: Time) -> Self {
-        Self { troubles: Vec::new(), begin, drawn: Some(Drawn::default()) }
+        Self { troubles: Vec::new(), begin, drawn: Some(Drawn { writes: WRITES, ..Drawn::default() }) }
+    }
+
+    /// The same where the class of writes has another number.
+    #[must_use]
+    pub fn writes(mut self, class: usize) -> Self {
+        if let Some(drawn) = &mut self.drawn {
+            drawn.writes = class.min(WRITES);
+        }
+        self
     }
 }
 
@@ -54,6 +62,8 @@
 #[derive(Debug, Default)]
 struct Drawn {
     open: HashMap<u64, Open>,
+    /// The class of writes.
+    writes: usize,
     /// By second and class, how long served requests took, in ms.
     took: Vec<[Vec<f32>; 5]>,
     /// By second and box, what it was sent.
@@ -82,10 +92,11 @@
     fn take(&mut self, record: &Record, begin: Time) {
         let second = |at: Time| usize::try_from((at - begin).0 / 1_000_000).unwrap_or(0);
         let (now, held) = (second(record.at), self.held);
-        let write = |of: &Open| of.class == WRITES;
+        let writes = self.writes;
+        let write = |of: &Open| of.class == writes;
         match record.what {
             What::Asked => {
-                let class = ((record.b % 256) as usize).min(WRITES);
+                let class = ((record.b % 256) as usize).min(writes);
                 let open = Open { asked: record.at, class, out: false };
                 self.open.insert(record.request, open);
                 self.hold(now, held + usize::from(write(&open)));
@@ -236,8 +247,8 @@
     for (what, figure) in [
         ("first tries", played.outcome.asked.iter().sum::<u64>().to_string()),
         ("served", format!("{:.4}", played.outcome.share())),
-        ("writes served", format!("{:.4}", played.outcome.share_of(WRITES))),
-        ("writes, p99 in ms", format!("{:.0}", p99(WRITES))),
+        ("writes served", format!("{:.4}", played.outcome.share_of(played.outcome.writes()))),
+        ("writes, p99 in ms", format!("{:.0}", p99(played.outcome.writes()))),
         ("attempts sent", played.outcome.sent.to_string()),
         ("probes", played.outcome.probes.to_string()),
         ("boxes that fell", played.outcome.fallen.to_string()),
@@ -252,8 +263,12 @@
     html.push_str(&chart(share, &[("served", served)], 1.05, &marks.troubles)?);
     html.push_str(&chart("first tries a second", &[("asked", load)], 1.0, &marks.troubles)?);
     if let Some(drawn) = &marks.drawn {
-        let lines: Vec<Line<'_>> =
-            CLASSES.iter().enumerate().map(|(class, name)| (*name, drawn.percentiles(class))).collect();
+        let lines: Vec<Line<'_>> = played
+            .classes
+            .iter()
+            .enumerate()
+            .map(|(class, name)| (name.as_str(), drawn.percentiles(class)))
+            .collect();
         let title = "time of served tries, 99th percentile of those asked in each second, ms";
         html.push_str(&chart(title, &lines, 1.0, &marks.troubles)?);
         let [most, middle, least] = drawn.loads();
--- a/crates/lab/src/rehearsal.rs
+++ b/crates/lab/src/rehearsal.rs
@@ -157,6 +157,10 @@
 ///
 /// When it is larger than one machine can show.
 pub fn check(plan: &Scenario) -> io::Result<()> {
+    if let Some(what) = plan.beyond_sockets() {
+        let words = format!("{}: {what} can't be on sockets; play it in virtual time", plan.name);
+        return Err(io::Error::other(words));
+    }
     let surges = plan.troubles.iter().filter(|of| of.what == Ill::Surge).map(|of| of.factor);
     let rate = Traffic::new(plan).rate * surges.fold(1.0, f64::max);
     let boxes = plan.fleet.groups * plan.fleet.members;
@@ -293,7 +297,7 @@
         stage.take(input);
     }
     let fallen = stage.fleet.fallen;
-    let verdict = audit(std::mem::take(&mut stage.records), end);
+    let verdict = audit(plan, std::mem::take(&mut stage.records), end);
     let counts = std::mem::replace(
         &mut *crate::lock(&shared.counts),
         Counts { asked: vec![], served: vec![], latency: vec![], by_second: vec![] },
@@ -303,8 +307,8 @@
 }
 
 /// Threads tell of what happened a little late and out of order: it is put in order first.
-fn audit(mut records: Vec<Record>, end: Time) -> audit::Verdict {
-    let mut rules = sim::rules();
+fn audit(plan: &Scenario, mut records: Vec<Record>, end: Time) -> audit::Verdict {
+    let mut rules = sim::rules(plan);
     rules.slack = Span(rules.slack.0 + LATE.0);
     rules.grace = Span(rules.grace.0 + LATE.0);
     for law in &mut rules.laws {
@@ -626,6 +630,8 @@
                 }
                 Consequence::Lives(server) => self.lives(server),
                 Consequence::Kill(at, trouble, router) => self.at(at, Event::Kill { trouble, router }),
+                // No such list is on sockets: `check` refuses it.
+                Consequence::Overbooked(_) => {}
                 Consequence::Surge(factor) => *crate::lock(&self.shared.surge) = factor,
             }
         }
@@ -678,7 +684,7 @@
                 write::ready(&mut bytes);
             }
             Asked::Report => {
-                let [position, primary] = self.fleet.report(server, now).unwrap_or_default();
+                let [position, primary, _] = self.fleet.report(server, now).unwrap_or_default();
                 let position = position + self.shared.begin.0 as f64 / 1e6;
                 let note = self.fleet.note(server, now);
                 answer(&mut bytes, format!("x0={position:.3},x1={primary}").as_bytes(), note);
@@ -932,7 +938,7 @@
 
 /// A client with all its tries.
 fn client(shared: &Shared, traffic: &Traffic, drawn: Drawn, asked: Time, retries: u32, seed: u64) {
-    let Drawn { class, session, group, router, work } = drawn;
+    let Drawn { class, session, group, router, work, .. } = drawn;
     let plan = &traffic.plans[class];
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let deadline = asked + plan.deadline;
