--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -418,7 +418,7 @@
 
 #[test]
 fn an_attempt_is_waited_for_as_long_as_its_client_waits() {
-    // Seen on the bench: reads given up at their aim went on at the servers, and their clients came again: a third more work.
+    // Seen on the bench: reads given up at their aim went on at the servers, and their clients came again.
     for waits in [1_000, 700, 450] {
         let mut host = Host::new(settings(), 1);
         let (id, actions) = host.ask_within(ANY, waits);
@@ -436,7 +436,7 @@
 
 #[test]
 fn retries_of_clients_give_way_to_first_tries_where_replicas_are_crowded() {
-    // Seen on the bench: refusals came back as retries, which were served late and kept first tries from being served in time.
+    // Seen on the bench: with every marked retry refused, far more first tries were served in time.
     for (slow_ms, crowded) in [(20, false), (200, true)] {
         let mut host = Host::new(settings(), 3);
         let mut answered = 0;
