--- a/crates/net/src/config.rs
+++ b/crates/net/src/config.rs
@@ -157,8 +157,7 @@
     ///
     /// When it can't be read or decoded.
     pub fn load(path: &Path) -> Result<Self, ConfigError> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|error| ConfigError::Read { path: path.display().to_string(), error })?;
+        let text = read(path)?;
         let inside = |error| ConfigError::In { path: path.display().to_string(), error: Box::new(error) };
         let mut config = Self::decode(&text).map_err(inside)?;
         // Told to each process by itself, so that two of them can be called while one takes the other's place.
@@ -227,6 +226,11 @@
     }
 }
 
+fn read(path: &Path) -> Result<String, ConfigError> {
+    std::fs::read_to_string(path)
+        .map_err(|error| ConfigError::Read { path: path.display().to_string(), error })
+}
+
 impl NoEffect {
     /// Of the configuration at `path`.
     ///
@@ -234,9 +238,7 @@
     ///
     /// When it can't be read or is no configuration.
     pub fn load(path: &Path) -> Result<Self, ConfigError> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|error| ConfigError::Read { path: path.display().to_string(), error })?;
-        Self::of(&text)
+        Self::of(&read(path)?)
     }
 
     /// Of a configuration.
