Work: who told of a record is spoken to, not who was read; who falls silent is told again

Cause, in desk.rs: a start asks voters what is out; the holder's Tell came first, and the word on it went to the holder; then the voters' Seen with the same age reached act_on, which put the voter into heard_from, and say sent every later word there. The holder had one word of this record, so that tell passed this pooler over, and a record that waits for its clear word does not change. The same came by reading where a pooler starts again after its earlier life has said a word of the record. Second fault, by reading, in word: a late letter of an earlier life was put behind the present one and stayed there for good, not clear.

Change: told_by is who told of the record, dropped with the record's token; a word goes there, else to the lease's holder as far as known. While a plan is under way the holder tells again who was not heard for STALE words. Lives are ordered by when they were heard.

--- a/crates/coordination/src/work/desk.rs
+++ b/crates/coordination/src/work/desk.rs
@@ -194,7 +194,10 @@
     order: VecDeque<PlanId>,
     /// The newest that a majority has stored, as far as is known.
     heard: Record,
+    /// Who knows the machines of its plan.
     heard_from: u16,
+    /// Who told of it, and so waits for this pooler's words; nobody yet where it was read from voters, who don't say whose it is.
+    told_by: Option<u16>,
     times: Vec<Time>,
     started: bool,
     began: Time,
@@ -234,6 +237,7 @@
             order: VecDeque::new(),
             heard: Record::default(),
             heard_from: setup.me.number,
+            told_by: None,
             times: Vec::new(),
             started: false,
             began: now,
@@ -301,6 +305,11 @@
         }
     }
 
+    /// Who waits for this pooler's words: who told it of the record, or holds the lease as far as is known.
+    fn speaks_to(&self, holder: Option<u16>) -> u16 {
+        self.told_by.or(holder).unwrap_or(self.heard_from)
+    }
+
     /// Whether a plan is under way, as far as is known.
     #[must_use]
     pub fn is_under_way(&self) -> bool {
@@ -595,6 +604,7 @@
                     self.post(to, Note::Reply { call, said });
                 }
                 self.act_on(now, self.setup.me.number, &settled);
+                self.told_by = Some(self.setup.me.number);
             }
             self.step(now, &settled, facts);
         }
@@ -663,16 +673,20 @@
         }
     }
 
-    /// Tells those the record that have not said a word of it.
+    /// Tells those the record that have not said a word of it. While a plan is under way, who was heard and falls silent is told
+    /// again: it may have started again since, or speak to somebody else.
     fn tell(&mut self, now: Time) {
         let half = Span(self.setup.every.0 / 2);
+        let stale = Span(self.setup.every.0 * STALE);
         let Some(lead) = &mut self.lead else { return };
         let Some(record) = lead.writer.settled().cloned() else { return };
         let me = self.setup.me.number;
         let mut to = Vec::new();
         for number in (0..self.setup.fleet).filter(|number| *number != me) {
             let knows = self.words.get(&number).and_then(|lives| lives.last()).is_some_and(|heard| {
-                heard.word.plan == record.plan && (heard.word.token, heard.word.version) == record.age()
+                let of_this = (heard.word.token, heard.word.version) == record.age();
+                let lately = record.mode == Mode::Over || now - heard.at < stale;
+                heard.word.plan == record.plan && of_this && lately
             });
             let told = lead.told.get(&number).copied();
             if !knows && told.is_none_or(|told| now - told >= half) {
@@ -696,7 +710,7 @@
         }
         for note in notes {
             let to: BTreeSet<u16> =
-                [self.heard_from, self.setup.me.number].into_iter().chain(holder).collect();
+                [self.speaks_to(holder), self.setup.me.number].into_iter().chain(holder).collect();
             for number in to {
                 self.post(number, note.clone());
             }
@@ -738,10 +752,7 @@
         let loads = own.loads.iter().cycle().skip(first).take(own.loads.len().min(Word::MOST_LOADS));
         let word = Word { loads: loads.copied().collect(), ..word };
         self.next_load = first + Word::MOST_LOADS;
-        // What was learnt from another process of this pooler was told by nobody.
-        let unknown = self.heard_from == self.setup.me.number && self.lead.is_none();
-        let to = own.holder.filter(|_| unknown).unwrap_or(self.heard_from);
-        self.post(to, Note::Word(word));
+        self.post(self.speaks_to(own.holder), Note::Word(word));
     }
 
     fn read(&mut self, now: Time, from: Who, note: Note) {
@@ -771,6 +782,9 @@
             }
             Note::Tell { record } => {
                 self.act_on(now, from.number, &record);
+                if record.age() == self.heard.age() {
+                    self.told_by = Some(from.number);
+                }
                 self.copy(now, from.number, &record);
             }
             Note::Word(word) => self.word(now, from, word),
@@ -855,7 +869,9 @@
                 lives.push(heard);
             }
         }
-        // An earlier life that says no more has made room for a later one, which speaks for all processes of its place.
+        // A life that says no more has made room for the one that was heard last, which speaks for all processes of its place. A letter
+        // of an earlier life may come after the first of a later one: what comes first says nothing of who lives.
+        lives.sort_by_key(|heard| heard.at);
         let newest = lives.last().map(|heard| heard.life);
         lives.retain(|heard| Some(heard.life) == newest || now - heard.at < stale);
     }
@@ -918,6 +934,9 @@
             return;
         }
         self.heard_from = from;
+        if record.token != self.heard.token {
+            self.told_by = None;
+        }
         self.times.resize(record.states.len(), now);
         for (at, state) in record.states.iter().enumerate() {
             if self.heard.plan != record.plan || self.heard.states.get(at) != Some(state) {
--- a/crates/coordination/tests/work.rs
+++ b/crates/coordination/tests/work.rs
@@ -543,6 +543,202 @@
     }
 }
 
+/// A pooler that stands alone before the test, which reads and writes all of its letters.
+struct Alone {
+    work: Work<Whole>,
+    now: Time,
+    /// Whom its last word went to.
+    word_to: Option<u16>,
+    /// The round of its last question.
+    round: u32,
+}
+
+impl Alone {
+    /// Number 4 of five, voters are 0, 1 and 2, just started.
+    fn start() -> Self {
+        let setup = WorkSetup {
+            me: Who { number: 4, life: 9 },
+            seed: 9,
+            fleet: 5,
+            voters: [0, 1, 2].into(),
+            previous: vec![],
+            every: EVERY,
+            hold: Span::millis(3_600_000),
+            limits: limits(),
+            poolers: limits(),
+        };
+        Self { work: Work::new(Time(0), setup), now: Time(0), word_to: None, round: 0 }
+    }
+
+    fn hear(&mut self, from: u16, note: Note) {
+        self.work.hear(self.now, Who { number: from, life: 1 }, note);
+    }
+
+    /// Ten milliseconds, with the lease held by `holder` as far as is known here, and nothing out anywhere.
+    fn step(&mut self, holder: Option<u16>) {
+        self.now = Time(self.now.0 + 10_000);
+        let clear = self.work.acts_on().map_or(Places::default(), |(_, record)| Places::of(record.out()));
+        let own = Own { holder, clear, clear_of: self.work.age(), ..Own::default() };
+        self.work.tick(self.now, &own, &|_| Facts::default());
+        for (to, note) in self.work.take_letters() {
+            let To::One(to) = to else { panic!("work is told one by one") };
+            match note {
+                Note::Word(_) => self.word_to = Some(to as u16),
+                Note::Read { round, .. } => self.round = round,
+                _ => {}
+            }
+        }
+    }
+
+    /// A voter answers its last question.
+    fn seen(&mut self, from: u16, record: &Record) {
+        let (round, promised, record) = (self.round, record.token, record.clone());
+        self.hear(from, Note::Seen { round, own: 1, blank: false, promised, record });
+    }
+}
+
+/// One machine that leaves, as the holder of a token has it stored.
+fn leaving() -> (Plan, Record) {
+    let plan = Plan { kind: Kind::Servers, machines: vec![1_001], nonce: 1 };
+    let record = Record { token: Token(7), version: 2, states: vec![State::Leaving], ..record(&plan) };
+    (plan, record)
+}
+
+fn part(plan: &Plan) -> Note {
+    let machines = plan.machines.clone();
+    Note::Part { plan: plan.id(), kind: plan.kind, nonce: plan.nonce, count: 1, at: 0, machines }
+}
+
+#[test]
+fn who_was_told_while_it_still_read_speaks_to_who_told_it() {
+    // The holder's letter comes between a start's question and its answers, and its sender is no voter.
+    for late in [false, true] {
+        let (plan, record) = leaving();
+        let mut pooler = Alone::start();
+        pooler.step(None);
+        pooler.hear(3, Note::Tell { record: record.clone() });
+        pooler.hear(3, part(&plan));
+        pooler.step(None);
+        assert_eq!(pooler.word_to, Some(3), "it was told, and says so");
+        assert!(!pooler.work.has_started());
+        if late {
+            // The answers are of before the holder wrote.
+            let before = Record { token: Token(6), version: 9, ..record.clone() };
+            [0, 1].into_iter().for_each(|voter| pooler.seen(voter, &before));
+        } else {
+            [0, 1].into_iter().for_each(|voter| pooler.seen(voter, &record));
+        }
+        assert!(pooler.work.has_started());
+        for _ in 0..100 {
+            pooler.word_to = None;
+            (0..15).for_each(|_| pooler.step(None));
+            assert_eq!(pooler.word_to, Some(3), "late {late}: the holder waits for its word");
+        }
+    }
+}
+
+#[test]
+fn who_has_read_and_was_not_told_speaks_to_who_holds_the_lease() {
+    let (plan, record) = leaving();
+    let mut pooler = Alone::start();
+    pooler.step(Some(3));
+    [0, 1].into_iter().for_each(|voter| pooler.seen(voter, &record));
+    pooler.hear(0, part(&plan));
+    pooler.step(Some(3));
+    [0, 1].into_iter().for_each(|voter| pooler.seen(voter, &record));
+    assert!(pooler.work.has_started());
+    (0..15).for_each(|_| pooler.step(Some(3)));
+    assert_eq!(pooler.word_to, Some(3), "voters have told what there is, and not whose it is");
+}
+
+/// A fleet in which pooler 3 holds the lease, and a plan for one machine waits for pooler 4, which has something out there.
+fn waits_for_pooler_4(seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(5, seed, 1);
+    fleet.lost = 0;
+    (0..50).for_each(|_| fleet.step());
+    fleet.holders.insert(3, Token(100));
+    fleet.lives = 100;
+    (0..50).for_each(|_| fleet.step());
+    let machine = fleet.facts.machines[1].machine;
+    let now = fleet.now;
+    fleet.poolers[0].as_mut().unwrap().work.submit(now, Kind::Servers, vec![machine]).unwrap();
+    for _ in 0..300 {
+        let busy = &mut fleet.poolers[4].as_mut().unwrap().busy;
+        busy.insert(machine, Time(i64::MAX));
+        fleet.step();
+        // A later send there would end sooner.
+        fleet.poolers[4].as_mut().unwrap().busy.insert(machine, Time(i64::MAX));
+    }
+    let of = &fleet.view().unwrap().machines[0];
+    assert_eq!((of.state, &of.missing), (State::Leaving, &vec![4]), "seed {seed}");
+    fleet
+}
+
+/// Steps until the machine is free; how many words' time that took.
+fn words_until_free(fleet: &mut Fleet) -> Option<i64> {
+    let began = fleet.now;
+    for _ in 0..600 {
+        fleet.step();
+        if fleet.view().is_some_and(|view| view.machines[0].state == State::Free) {
+            return Some((fleet.now - began).0 / EVERY.0);
+        }
+    }
+    None
+}
+
+#[test]
+fn who_starts_again_while_a_machine_waits_for_it_is_heard() {
+    for seed in 0..20 {
+        let mut fleet = waits_for_pooler_4(seed);
+        fleet.kill(4);
+        (0..10).for_each(|_| fleet.step());
+        fleet.start(4);
+        let took = words_until_free(&mut fleet);
+        assert!(took.is_some_and(|words| words < 20), "seed {seed}: {took:?}, {:?}", fleet.view());
+    }
+}
+
+#[test]
+fn who_has_said_a_word_of_the_record_and_falls_silent_is_told_again() {
+    for seed in 0..20 {
+        let mut fleet = waits_for_pooler_4(seed);
+        // A record of this age from somebody who does not lead: that one is spoken to from now on.
+        let record = fleet.poolers[0].as_ref().unwrap().work.acts_on().unwrap().1.clone();
+        let now = fleet.now;
+        let pooler = fleet.poolers[4].as_mut().unwrap();
+        pooler.work.hear(now, Who { number: 0, life: 1 }, Note::Tell { record });
+        pooler.busy.clear();
+        let took = words_until_free(&mut fleet);
+        assert!(took.is_some_and(|words| words < 20), "seed {seed}: {took:?}, {:?}", fleet.view());
+    }
+}
+
+#[test]
+fn a_late_letter_of_an_earlier_life_does_not_put_it_in_the_place_of_the_present_one() {
+    for seed in 0..20 {
+        let mut fleet = waits_for_pooler_4(seed);
+        let old = fleet.poolers[4].as_ref().unwrap().who;
+        let of = fleet.poolers[4].as_ref().unwrap().work.acts_on().unwrap().1;
+        let (plan, token, version) = (of.plan, of.token, of.version);
+        fleet.kill(4);
+        (0..300).for_each(|_| fleet.step());
+        fleet.start(4);
+        // Its new life is heard, and keeps the machine busy.
+        let machine = fleet.facts.machines[1].machine;
+        for _ in 0..100 {
+            fleet.poolers[4].as_mut().unwrap().busy.insert(machine, Time(i64::MAX));
+            fleet.step();
+        }
+        // Now what its earlier life has said last, which has been on its way since.
+        let word = Word { plan, token, version, ..Word::default() };
+        let now = fleet.now;
+        fleet.poolers[3].as_mut().unwrap().work.hear(now, old, Note::Word(word));
+        fleet.poolers[4].as_mut().unwrap().busy.clear();
+        let took = words_until_free(&mut fleet);
+        assert!(took.is_some_and(|words| words < 20), "seed {seed}: {took:?}, {:?}", fleet.view());
+    }
+}
+
 fn any_record() -> impl Strategy<Value = Record> {
     let states = prop::collection::vec(0..State::ALL.len(), 0..=MOST_MACHINES);
     (any::<u64>(), any::<u32>(), any::<u64>(), 0..4_usize, states).prop_map(
