Work: who leads speaks to itself, whoever else tells it of its record

By reading: a pooler that still has a record tells it to whoever seems to have lost it; were the holder told its own record so, its words would go there, and its own word on the next record would be missing. Change: who leads speaks to itself. Measured: 13 of 13 tests of coordination/tests/work.rs pass, one of them new; that it fails without the change was not run.

--- a/crates/coordination/src/work/desk.rs
+++ b/crates/coordination/src/work/desk.rs
@@ -305,9 +305,10 @@
         }
     }
 
-    /// Who waits for this pooler's words: who told it of the record, or holds the lease as far as is known.
+    /// Who waits for this pooler's words: itself where it leads, who told it of the record, or who holds the lease as far as is known.
     fn speaks_to(&self, holder: Option<u16>) -> u16 {
-        self.told_by.or(holder).unwrap_or(self.heard_from)
+        let own = self.lead.as_ref().and_then(|lead| lead.own).map(|_| self.setup.me.number);
+        own.or(self.told_by).or(holder).unwrap_or(self.heard_from)
     }
 
     /// Whether a plan is under way, as far as is known.
@@ -604,7 +605,6 @@
                     self.post(to, Note::Reply { call, said });
                 }
                 self.act_on(now, self.setup.me.number, &settled);
-                self.told_by = Some(self.setup.me.number);
             }
             self.step(now, &settled, facts);
         }
--- a/crates/coordination/tests/work.rs
+++ b/crates/coordination/tests/work.rs
@@ -651,14 +651,20 @@
     assert_eq!(pooler.word_to, Some(3), "voters have told what there is, and not whose it is");
 }
 
-/// A fleet in which pooler 3 holds the lease, and a plan for one machine waits for pooler 4, which has something out there.
-fn waits_for_pooler_4(seed: u64) -> Fleet {
+/// A fleet that loses no letter, in which pooler 3 holds the lease; it is no voter.
+fn led_by_pooler_3(seed: u64) -> Fleet {
     let mut fleet = Fleet::new(5, seed, 1);
     fleet.lost = 0;
     (0..50).for_each(|_| fleet.step());
     fleet.holders.insert(3, Token(100));
     fleet.lives = 100;
     (0..50).for_each(|_| fleet.step());
+    fleet
+}
+
+/// A fleet in which pooler 3 holds the lease, and a plan for one machine waits for pooler 4, which has something out there.
+fn waits_for_pooler_4(seed: u64) -> Fleet {
+    let mut fleet = led_by_pooler_3(seed);
     let machine = fleet.facts.machines[1].machine;
     let now = fleet.now;
     fleet.poolers[0].as_mut().unwrap().work.submit(now, Kind::Servers, vec![machine]).unwrap();
@@ -713,6 +719,24 @@
     }
 }
 
+#[test]
+fn who_leads_and_is_told_its_own_record_goes_on_speaking_to_itself() {
+    let mut fleet = led_by_pooler_3(1);
+    let now = fleet.now;
+    let machine = fleet.facts.machines[1].machine;
+    fleet.poolers[0].as_mut().unwrap().work.submit(now, Kind::Servers, vec![machine]).unwrap();
+    while fleet.view().is_none_or(|view| view.machines.is_empty()) {
+        fleet.step();
+    }
+    assert_eq!(fleet.view().unwrap().machines[0].state, State::Waiting);
+    let record = fleet.poolers[3].as_ref().unwrap().work.acts_on().unwrap().1.clone();
+    let now = fleet.now;
+    let leader = fleet.poolers[3].as_mut().unwrap();
+    leader.work.hear(now, Who { number: 0, life: 1 }, Note::Tell { record });
+    let took = words_until_free(&mut fleet);
+    assert!(took.is_some_and(|words| words < 40), "{took:?}, {:?}", fleet.view());
+}
+
 #[test]
 fn a_late_letter_of_an_earlier_life_does_not_put_it_in_the_place_of_the_present_one() {
     for seed in 0..20 {
