--- /dev/null
+++ b/crates/fleet/src/even.rs
@@ -0,0 +1,539 @@
+//! Many poolers over few servers, in virtual time: how evenly a choice spreads work, when each pooler sees little of it.
+//!
+//! Smaller than [`crate::sim`], which plays the whole of a pooler: here a request is a choice of a member, its answer, and at most two
+//! more choices. So 2,000 poolers over 400 servers take seconds, and [`Scheme`]s that the program does not have can be compared on the
+//! same arrivals. Boxes are those of [`crate::server`]. What is left out stands in `docs/design/even-load.md`.
+
+mod figures;
+mod scheme;
+
+pub use figures::Figures;
+pub use scheme::{Scheme, TwoOf};
+
+use crate::agenda::Agenda;
+use crate::server::{Came, Job, Kind, Life, Server};
+use figures::Loads;
+use linnetdeal_core::{Span, Time};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp1};
+use scheme::Chooser;
+
+/// The mean work of a request on a standard core; its answer earns its full worth within the aim.
+pub const WORK: Span = Span::millis(20);
+/// See [`WORK`].
+pub const AIM: Span = Span::millis(150);
+/// What the network adds, in the same zone and between zones.
+const SAME: Span = Span(250);
+const CROSS: Span = Span(850);
+/// What a new connection costs its server.
+const HANDSHAKE: Span = Span::millis(2);
+/// A request is sent so often at most.
+const ATTEMPTS: usize = 3;
+/// Work that a primary has, as a part of what a replica has.
+const PRIMARY_WORK: f64 = 0.8;
+/// Reads that need what their session wrote, and how long ago that was, in the mean.
+const SESSIONS: f64 = 0.1;
+const WROTE: Span = Span::millis(150);
+/// How far behind replicas are, and how far one in six is.
+const LAG: std::ops::Range<i64> = 5..60;
+const FAR_BEHIND: Span = Span::millis(250);
+/// Zones, what clients in each ask, and after the shift.
+const ZONES: usize = 3;
+const ASKED: [[f64; ZONES]; 2] = [[0.5, 0.3, 0.2], [0.2, 0.3, 0.5]];
+/// Poolers with more traffic than the mean: one in so many, and how much more. The first has most.
+const HEAVY: usize = 20;
+const HEAVIER: f64 = 4.0;
+const HEAVIEST: f64 = 10.0;
+/// Until then nothing counts.
+pub const SETTLED: i64 = 2;
+const BEGIN: Time = Time(1_000_000_000_000);
+
+/// What makes load uneven; each can be taken away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sources {
+    /// Requests come and take by chance; else evenly, and all the same.
+    pub chance: bool,
+    /// Cores are 0.85 to 1.7 times the standard; else all alike.
+    pub speed: bool,
+    /// Groups have primaries with writes; else replicas only.
+    pub writes: bool,
+    /// Some reads may go to some replicas only.
+    pub sessions: bool,
+    /// Poolers' clients differ by zone; else all poolers ask the same.
+    pub zones: bool,
+    /// A few poolers have several times the mean.
+    pub heavy: bool,
+}
+
+impl Sources {
+    /// All of them.
+    pub const ALL: Self =
+        Self { chance: true, speed: true, writes: true, sessions: true, zones: true, heavy: true };
+}
+
+/// What is played.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// For all that is drawn.
+    pub seed: u64,
+    /// Poolers.
+    pub poolers: usize,
+    /// Groups, and members of each: the first is the primary.
+    pub groups: usize,
+    /// See `groups`.
+    pub members: usize,
+    /// Work asked, as a part of what servers can do.
+    pub load: f64,
+    /// How long.
+    pub seconds: i64,
+    /// How often what is told is told anew, to all at one moment.
+    pub age: Span,
+    /// What makes load uneven.
+    pub sources: Sources,
+    /// A step, slow servers, a restart, errors and a shift between zones, see [`troubles`].
+    pub troubles: bool,
+}
+
+impl Plan {
+    /// The usual one for so many poolers: a server for each two to five of them, in groups as large as the fleets of the bench have them.
+    #[must_use]
+    pub fn of(poolers: usize) -> Self {
+        let (groups, members) = match poolers {
+            0..=10 => (2, 6),
+            11..=100 => (4, 10),
+            101..=1_000 => (10, 12),
+            _ => (20, 20),
+        };
+        Self {
+            seed: 1,
+            poolers,
+            groups,
+            members,
+            load: 0.65,
+            seconds: 26,
+            age: Span::millis(100),
+            sources: Sources::ALL,
+            troubles: true,
+        }
+    }
+
+    /// Servers.
+    #[must_use]
+    pub fn servers(&self) -> usize {
+        self.groups * self.members
+    }
+
+    /// What clients ask at that second, as a multiple of the usual.
+    fn step(&self, second: f64) -> f64 {
+        if self.troubles && (6.0..10.0).contains(&second) { 1.4 } else { 1.0 }
+    }
+
+    /// Which of [`ASKED`] holds then.
+    fn shifted(&self, at: Time) -> usize {
+        usize::from(self.troubles && at >= second(23))
+    }
+}
+
+fn second(of: i64) -> Time {
+    BEGIN + Span::millis(of * 1_000)
+}
+
+/// What befalls each of the servers that are hit: the third of each group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trouble {
+    /// New work runs so many times as long, in percent.
+    Slow(i64),
+    /// Its process ends, and that is told.
+    Dies,
+    Unlisted,
+    /// It starts anew, cold, and that is told.
+    Returns,
+    Listed,
+    /// All that it is sent ends with an error at once; or no more.
+    Errs(bool),
+}
+
+/// The troubles: when in ms, and what.
+const TROUBLES: [(i64, Trouble); 8] = [
+    (11_000, Trouble::Slow(200)),
+    (14_000, Trouble::Slow(100)),
+    (15_000, Trouble::Dies),
+    (15_300, Trouble::Unlisted),
+    (17_000, Trouble::Returns),
+    (17_300, Trouble::Listed),
+    (21_000, Trouble::Errs(true)),
+    (22_000, Trouble::Errs(false)),
+];
+
+/// When troubles begin, in seconds: the step, slow servers, the restart, the return, errors, the shift.
+#[must_use]
+pub fn troubles() -> Vec<f64> {
+    vec![6.0, 10.0, 11.0, 14.0, 15.0, 17.3, 21.0, 23.0]
+}
+
+/// A request, as its client asks it: the same for every scheme.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    at: Time,
+    pooler: u32,
+    group: u32,
+    write: bool,
+    /// Its session wrote so long ago.
+    wrote: Option<Span>,
+    work: Span,
+}
+
+/// Arrivals in their order, drawn from a generator of their own.
+struct Arrivals {
+    plan: Plan,
+    rng: ChaCha8Rng,
+    at: Time,
+    /// Requests a microsecond.
+    rate: f64,
+    /// Sums over groups and, before and after the shift, over poolers.
+    groups: Vec<f64>,
+    poolers: [Vec<f64>; 2],
+    write_share: f64,
+}
+
+/// Where a draw falls in sums that end with the whole.
+fn falls(sums: &[f64], draw: f64) -> usize {
+    let whole = sums.last().copied().unwrap_or(0.0);
+    sums.partition_point(|sum| *sum <= draw * whole).min(sums.len() - 1)
+}
+
+fn sums(of: impl Iterator<Item = f64>) -> Vec<f64> {
+    of.scan(0.0, |sum, one| {
+        *sum += one;
+        Some(*sum)
+    })
+    .collect()
+}
+
+impl Arrivals {
+    fn new(plan: Plan, servers: &[Member]) -> Self {
+        let capacity = |of: &[Member]| of.iter().map(|of| of.kind.cores as f64 * of.kind.speed).sum::<f64>();
+        let groups: Vec<f64> = servers.chunks(plan.members).map(capacity).collect();
+        let weight = |pooler: usize, when: usize| {
+            let zone = if plan.sources.zones { ASKED[when][pooler % ZONES] * ZONES as f64 } else { 1.0 };
+            let heavy = match pooler {
+                0 if plan.sources.heavy => HEAVIEST,
+                _ if plan.sources.heavy && pooler % HEAVY == 7 => HEAVIER,
+                _ => 1.0,
+            };
+            zone * heavy
+        };
+        let writes = PRIMARY_WORK / (plan.members as f64 - 1.0 + PRIMARY_WORK);
+        let share = (plan.members as f64 - 1.0 + PRIMARY_WORK) / plan.members as f64;
+        let (share, write_share) = if plan.sources.writes { (share, writes) } else { (1.0, 0.0) };
+        Self {
+            plan,
+            rng: ChaCha8Rng::seed_from_u64(plan.seed),
+            at: BEGIN,
+            rate: plan.load * share * groups.iter().sum::<f64>() / WORK.0 as f64,
+            groups: sums(groups.into_iter()),
+            poolers: [0, 1].map(|when| sums((0..plan.poolers).map(|pooler| weight(pooler, when)))),
+            write_share,
+        }
+    }
+}
+
+impl Iterator for Arrivals {
+    type Item = Arrival;
+
+    fn next(&mut self) -> Option<Arrival> {
+        let sources = self.plan.sources;
+        let mut drawn = || if sources.chance { Exp1.sample(&mut self.rng) } else { 1.0 };
+        let (gap, work): (f64, f64) = (drawn(), drawn());
+        let now = (self.at - BEGIN).0 as f64 / 1e6;
+        self.at = self.at + Span((gap / (self.rate * self.plan.step(now))).max(1.0) as i64);
+        if self.at >= second(self.plan.seconds) {
+            return None;
+        }
+        let write = self.rng.random_bool(self.write_share);
+        let session = self.rng.random_bool(SESSIONS) && !write && sources.sessions;
+        let wrote: f64 = Exp1.sample(&mut self.rng);
+        Some(Arrival {
+            at: self.at,
+            pooler: falls(&self.poolers[self.plan.shifted(self.at)], self.rng.random()) as u32,
+            group: falls(&self.groups, self.rng.random()) as u32,
+            write,
+            wrote: session.then(|| WROTE.times(wrote)),
+            work: WORK.times(work).max(Span(1)),
+        })
+    }
+}
+
+/// A server, and what is known of it without asking.
+#[derive(Clone, Debug)]
+struct Member {
+    kind: Kind,
+    server: Server,
+    zone: usize,
+    lag: Span,
+    listed: bool,
+    errs: bool,
+}
+
+fn servers(plan: &Plan) -> Vec<Member> {
+    let mut rng = ChaCha8Rng::seed_from_u64(plan.seed ^ 0x5EED);
+    let member = |at: usize| {
+        let speed = rng.random_range(0.85..1.7);
+        let kind = Kind {
+            cores: 4,
+            speed: if plan.sources.speed { speed } else { 1.25 },
+            room: 64,
+            crowding: 0.0,
+            thrash: (5.0, 0.15),
+            cold: (0.2, Span::millis(12_000)),
+            fall: (f64::INFINITY, Span::millis(1)),
+        };
+        let near = Span::millis(rng.random_range(LAG));
+        let lag = if at % 6 == 5 { FAR_BEHIND } else { near };
+        Member { kind, server: Server::new(kind), zone: at % ZONES, lag, listed: true, errs: false }
+    };
+    (0..plan.servers()).map(member).collect()
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Done {
+        server: u32,
+        slot: usize,
+    },
+    Trouble(usize),
+    /// What is told is told anew.
+    Told,
+    /// Loads are looked at.
+    Look,
+}
+
+/// A request that has no final answer.
+#[derive(Clone, Copy, Debug)]
+struct Open {
+    asked: Arrival,
+    tried: [u32; ATTEMPTS],
+    attempts: usize,
+    sent: Time,
+    /// Whether a member that may answer had a free core as it was sent last.
+    beside: bool,
+}
+
+/// A play.
+struct World {
+    plan: Plan,
+    members: Vec<Member>,
+    agenda: Agenda<Event>,
+    open: Vec<Open>,
+    free: Vec<usize>,
+    chooser: Chooser,
+    loads: Loads,
+    figures: Figures,
+    pool: Vec<u32>,
+    rng: ChaCha8Rng,
+}
+
+/// Plays a scheme.
+#[must_use]
+pub fn run(plan: &Plan, scheme: Scheme) -> Figures {
+    play(plan, scheme).figures
+}
+
+/// Plays a scheme, and gives with its figures what takes one more decision as it stood at the end, for who measures what one costs.
+pub fn run_then(plan: &Plan, scheme: Scheme) -> (Figures, impl FnMut(usize) -> Option<u32>) {
+    let mut world = play(plan, scheme);
+    let figures = world.figures.clone();
+    let again = move |at: usize| {
+        let (pooler, group) = (at % world.plan.poolers, at / world.plan.poolers % world.plan.groups);
+        let from = group * world.plan.members + 1;
+        world.pool.clear();
+        world.pool.extend((from..from + world.plan.members - 1).map(|at| at as u32));
+        world.chooser.choose(second(world.plan.seconds), pooler, &world.pool, &world.members)
+    };
+    (figures, again)
+}
+
+fn play(plan: &Plan, scheme: Scheme) -> World {
+    let members = servers(plan);
+    let mut arrivals = Arrivals::new(*plan, &members);
+    let rate = arrivals.rate * 1e6;
+    let mut world = World {
+        plan: *plan,
+        chooser: Chooser::new(plan, scheme, rate),
+        loads: Loads::new(plan.members, members.len()),
+        members,
+        agenda: Agenda::default(),
+        open: Vec::new(),
+        free: Vec::new(),
+        figures: Figures::default(),
+        pool: Vec::new(),
+        rng: ChaCha8Rng::seed_from_u64(plan.seed ^ 0xC01D),
+    };
+    world.agenda.enter(BEGIN, Event::Look);
+    world.agenda.enter(BEGIN, Event::Told);
+    for (at, (ms, _)) in TROUBLES.iter().enumerate().filter(|_| plan.troubles) {
+        world.agenda.enter(BEGIN + Span::millis(*ms), Event::Trouble(at));
+    }
+    let mut next = arrivals.next();
+    loop {
+        let due = world.agenda.next_at().unwrap_or(Time(i64::MAX));
+        if let Some(asked) = next.filter(|asked| asked.at <= due) {
+            world.ask(asked);
+            next = arrivals.next();
+            continue;
+        }
+        match world.agenda.take() {
+            Some((now, event)) if now < second(plan.seconds) => world.happens(now, event),
+            _ => break,
+        }
+    }
+    world.loads.tell(&mut world.figures);
+    world.chooser.tell(&mut world.figures);
+    world
+}
+
+impl World {
+    fn ask(&mut self, asked: Arrival) {
+        let open = Open { asked, tried: [u32::MAX; ATTEMPTS], attempts: 0, sent: asked.at, beside: false };
+        let slot = self.free.pop().unwrap_or(self.open.len());
+        if slot == self.open.len() {
+            self.open.push(open);
+        } else {
+            self.open[slot] = open;
+        }
+        self.send(asked.at, slot);
+    }
+
+    /// Members that may answer it; those tried only where nobody else is left.
+    fn fill_pool(&mut self, now: Time, open: &Open) {
+        let begin = open.asked.group as usize * self.plan.members;
+        let primary = self.plan.sources.writes;
+        self.pool.clear();
+        if open.asked.write {
+            self.pool.push(begin as u32);
+            return;
+        }
+        let range = begin + usize::from(primary)..begin + self.plan.members;
+        for at in range {
+            let of = &self.members[at];
+            let fresh = open.asked.wrote.is_none_or(|ago| of.lag <= ago);
+            // A cold one is sent a part of what it would be warm, by every scheme: the budget of cold members is another matter.
+            let warmth = of.server.warmth(now);
+            let warm = warmth >= 1.0 || self.rng.random_bool(warmth);
+            if of.listed && fresh && warm && !open.tried.contains(&(at as u32)) {
+                self.pool.push(at as u32);
+            }
+        }
+        if self.pool.is_empty() {
+            // Nobody is fresh enough or left: the primary is.
+            self.pool.push(begin as u32);
+        }
+    }
+
+    fn send(&mut self, now: Time, slot: usize) {
+        let mut open = self.open[slot];
+        loop {
+            if open.attempts == ATTEMPTS {
+                self.ends(&open, None);
+                self.free.push(slot);
+                return;
+            }
+            self.fill_pool(now, &open);
+            let pooler = open.asked.pooler as usize;
+            open.beside = self.pool.iter().any(|at| {
+                let of = &self.members[*at as usize];
+                of.server.life() == Life::Up && !of.errs && of.server.holds() < of.kind.cores
+            });
+            let pick = self.chooser.choose(now, pooler, &self.pool, &self.members);
+            let to = pick.unwrap_or(self.pool[0]);
+            open.tried[open.attempts] = to;
+            open.attempts += 1;
+            open.sent = now;
+            let counts = now >= second(SETTLED);
+            self.figures.sent += u64::from(counts);
+            let of = &mut self.members[to as usize];
+            if self.chooser.connects(pooler, to) {
+                of.server.disturb(HANDSHAKE);
+            }
+            self.loads.sent(to, open.asked.work);
+            // An error, as a refusal, teaches nothing: it must not look like a quick answer.
+            if of.errs {
+                continue;
+            }
+            match of.server.come(now, Job { id: slot as u64, work: open.asked.work }) {
+                Came::Runs(ends) => self.agenda.enter(ends, Event::Done { server: to, slot }),
+                Came::Waits => {}
+                Came::Full | Came::Nobody | Came::Fell => continue,
+            }
+            self.chooser.sent(now, pooler, to);
+            self.open[slot] = open;
+            return;
+        }
+    }
+
+    /// The final outcome: answered then, or never.
+    fn ends(&mut self, open: &Open, took: Option<Span>) {
+        if open.asked.at < second(SETTLED) {
+            return;
+        }
+        let late = took.is_none_or(|took| took > AIM);
+        self.figures.asked += 1;
+        self.figures.refused += u64::from(took.is_none());
+        self.figures.late += u64::from(late && took.is_some());
+        self.figures.beside_idle += u64::from(late && open.beside);
+        if let Some(took) = took.filter(|_| !open.asked.write) {
+            self.figures.times.saturating_record(took.0.max(1) as u64);
+        }
+    }
+
+    fn happens(&mut self, now: Time, event: Event) {
+        match event {
+            Event::Done { server, slot } => {
+                let of = &mut self.members[server as usize];
+                // The box has died since, and the slot may have been given to another request.
+                let Some(next) = of.server.done(now, slot as u64) else { return };
+                if let Some((id, ends)) = next {
+                    self.agenda.enter(ends, Event::Done { server, slot: id as usize });
+                }
+                let open = self.open[slot];
+                let pooler = open.asked.pooler as usize;
+                let net = if pooler % ZONES == of.zone { SAME } else { CROSS };
+                self.chooser.answered(now, pooler, server, open.sent, Span((now - open.sent).0 + net.0));
+                self.ends(&open, Some(Span((now - open.asked.at).0 + net.0)));
+                self.free.push(slot);
+            }
+            Event::Told => {
+                self.chooser.told(now, &self.members);
+                self.agenda.enter(now + self.plan.age, Event::Told);
+            }
+            Event::Look => {
+                self.loads.look(now >= second(SETTLED), now, &self.members);
+                self.agenda.enter(now + figures::LOOK, Event::Look);
+            }
+            Event::Trouble(at) => {
+                for group in 0..self.plan.groups {
+                    self.befalls(now, TROUBLES[at].1, group * self.plan.members + 2);
+                }
+            }
+        }
+    }
+
+    fn befalls(&mut self, now: Time, trouble: Trouble, at: usize) {
+        let of = &mut self.members[at];
+        match trouble {
+            Trouble::Slow(percent) => of.server.slow = percent as f64 / 100.0,
+            Trouble::Unlisted => of.listed = false,
+            Trouble::Listed => of.listed = true,
+            Trouble::Errs(errs) => of.errs = errs,
+            Trouble::Returns => drop(of.server.start(now)),
+            Trouble::Dies => {
+                for slot in of.server.die() {
+                    let open = self.open[slot as usize];
+                    self.chooser.lost(open.asked.pooler as usize, at as u32, open.sent);
+                    self.send(now, slot as usize);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/even/figures.rs
@@ -0,0 +1,210 @@
+//! What is counted of a play, at the servers.
+
+use super::Member;
+use crate::server::Life;
+use hdrhistogram::Histogram;
+use linnetdeal_core::{Span, Time};
+
+/// How often loads are looked at; four looks are a window of a second.
+pub(super) const LOOK: Span = Span::millis(250);
+const WINDOW: usize = 4;
+/// A server that gets more than so many times the mean of its group in a look is in a herd.
+pub const HERD: f64 = 4.0;
+/// A server with less than this part of its group's mean idles.
+const IDLE: f64 = 0.5;
+
+/// What came out. Loads are work sent against capacity, as a multiple of the mean over the replicas of the same group.
+#[derive(Clone, Debug)]
+pub struct Figures {
+    /// Requests, and how they ended: refused, or answered after the aim; and either of them though a member that might have answered
+    /// had a free core as it was sent.
+    pub asked: u64,
+    /// See `asked`.
+    pub refused: u64,
+    /// See `asked`.
+    pub late: u64,
+    /// See `asked`.
+    pub beside_idle: u64,
+    /// Attempts.
+    pub sent: u64,
+    /// How long reads took that were answered, in microseconds.
+    pub times: Histogram<u64>,
+    /// Loads in windows of 1 s, in thousandths.
+    pub loads: Histogram<u64>,
+    /// By second: the greatest load.
+    pub peaks: Vec<f64>,
+    /// Seconds of servers that had less than half of the mean for two windows on end, warm and in service.
+    pub idle_seconds: u64,
+    /// The greatest load within 250 ms, and how often one was over [`HERD`].
+    pub swing: f64,
+    /// See `swing`.
+    pub herds: u64,
+    /// Connections that poolers hold at the end; as many handshakes were made.
+    pub connections: u64,
+    /// What was told, by poolers or in answer to probes.
+    pub messages: u64,
+}
+
+impl Default for Figures {
+    fn default() -> Self {
+        let histogram = |most| Histogram::new_with_bounds(1, most, 3).expect("bounds that are constants");
+        Self {
+            asked: 0,
+            refused: 0,
+            late: 0,
+            beside_idle: 0,
+            sent: 0,
+            times: histogram(60_000_000),
+            loads: histogram(1_000_000),
+            peaks: Vec::new(),
+            idle_seconds: 0,
+            swing: 0.0,
+            herds: 0,
+            connections: 0,
+            messages: 0,
+        }
+    }
+}
+
+impl Figures {
+    /// Peak to mean: the load that one in a hundred windows of servers is over.
+    #[must_use]
+    pub fn peak(&self) -> f64 {
+        self.loads.value_at_quantile(0.99) as f64 / 1_000.0
+    }
+
+    /// The time that one read in a hundred is over, in ms.
+    #[must_use]
+    pub fn p99_ms(&self) -> f64 {
+        self.times.value_at_quantile(0.99) as f64 / 1_000.0
+    }
+
+    /// The mean time of reads, in ms.
+    #[must_use]
+    pub fn mean_ms(&self) -> f64 {
+        self.times.mean() / 1_000.0
+    }
+
+    /// The part of requests that were refused or late.
+    #[must_use]
+    pub fn bad(&self) -> f64 {
+        (self.refused + self.late) as f64 / self.asked.max(1) as f64
+    }
+
+    /// The part that was so beside an idle server.
+    #[must_use]
+    pub fn bad_beside_idle(&self) -> f64 {
+        self.beside_idle as f64 / self.asked.max(1) as f64
+    }
+
+    /// Messages for each request.
+    #[must_use]
+    pub fn messages_a_request(&self) -> f64 {
+        self.messages as f64 / self.asked.max(1) as f64
+    }
+}
+
+/// Loads as they come in.
+#[derive(Debug)]
+pub(super) struct Loads {
+    members: usize,
+    /// Work sent since the last look, and in the window so far with the capacity of that time.
+    sent: Vec<f64>,
+    window: Vec<(f64, f64)>,
+    /// Whether it served all the time, and warm.
+    whole: Vec<bool>,
+    warm: Vec<bool>,
+    /// Windows on end in which it idled.
+    idled: Vec<u64>,
+    looks: usize,
+    told: Figures,
+}
+
+impl Loads {
+    pub(super) fn new(members: usize, servers: usize) -> Self {
+        Self {
+            members,
+            sent: vec![0.0; servers],
+            window: vec![(0.0, 0.0); servers],
+            whole: vec![true; servers],
+            warm: vec![true; servers],
+            idled: vec![0; servers],
+            looks: 0,
+            told: Figures::default(),
+        }
+    }
+
+    pub(super) fn sent(&mut self, to: u32, work: Span) {
+        self.sent[to as usize] += work.0 as f64;
+    }
+
+    /// Looks at what was sent since the last look.
+    pub(super) fn look(&mut self, counts: bool, now: Time, members: &[Member]) {
+        for (at, of) in members.iter().enumerate() {
+            let up = of.server.life() == Life::Up && of.listed;
+            self.whole[at] &= up;
+            self.warm[at] &= of.server.warmth(now) >= 1.0 && !of.errs;
+            self.window[at].0 += self.sent[at];
+            self.window[at].1 += of.server.capacity(now) / of.server.slow * LOOK.0 as f64;
+        }
+        if counts {
+            for begin in (0..members.len()).step_by(self.members) {
+                let replicas = begin + 1..begin + self.members;
+                let capacity = |at: usize| members[at].server.capacity(now) / members[at].server.slow;
+                let up: Vec<usize> = replicas.filter(|at| self.whole[*at]).collect();
+                let work: f64 = up.iter().map(|at| self.sent[*at]).sum();
+                let mean = work / up.iter().map(|at| capacity(*at)).sum::<f64>();
+                for at in up.into_iter().filter(|at| self.warm[*at]) {
+                    let load = self.sent[at] / capacity(at) / mean.max(f64::EPSILON);
+                    self.told.swing = self.told.swing.max(load);
+                    self.told.herds += u64::from(load > HERD);
+                }
+            }
+        }
+        self.sent.fill(0.0);
+        self.looks += 1;
+        if self.looks % WINDOW == 0 {
+            if counts {
+                self.close();
+            }
+            self.window.fill((0.0, 0.0));
+            self.whole.fill(true);
+            self.warm.fill(true);
+        }
+    }
+
+    /// A window is over.
+    fn close(&mut self) {
+        let mut peak: f64 = 0.0;
+        for begin in (0..self.window.len()).step_by(self.members) {
+            let up = (begin + 1..begin + self.members).filter(|at| self.whole[*at]);
+            let up: Vec<usize> = up.collect();
+            let (work, capacity) = up.iter().fold((0.0, 0.0), |sum: (f64, f64), at| {
+                (sum.0 + self.window[*at].0, sum.1 + self.window[*at].1)
+            });
+            let mean = work / capacity;
+            for at in up {
+                let load = self.window[at].0 / self.window[at].1 / mean.max(f64::EPSILON);
+                peak = peak.max(load);
+                self.told.loads.saturating_record((load * 1_000.0) as u64 + 1);
+                let idles = load < IDLE && self.warm[at];
+                self.idled[at] = if idles { self.idled[at] + 1 } else { 0 };
+                // The second window shows that the first was no chance.
+                self.told.idle_seconds += match self.idled[at] {
+                    0 | 1 => 0,
+                    2 => 2,
+                    _ => 1,
+                };
+            }
+        }
+        self.told.peaks.push(peak);
+    }
+
+    pub(super) fn tell(&mut self, figures: &mut Figures) {
+        figures.loads = self.told.loads.clone();
+        figures.peaks = std::mem::take(&mut self.told.peaks);
+        figures.idle_seconds = self.told.idle_seconds;
+        figures.swing = self.told.swing;
+        figures.herds = self.told.herds;
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod agenda;
 pub mod audit;
+pub mod even;
 pub mod faults;
 pub mod fleet;
 pub mod group;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod demo;
 pub mod emulator;
 pub mod eureka;
+pub mod even;
 pub mod experiment;
 pub mod family;
 pub mod leases;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -109,6 +109,21 @@
     },
     /// Play plans in the model by each scheme, and plot them.
     WorkModel,
+    /// Spread load over servers by each scheme in the model of many poolers; print a table, and what each source of unevenness is worth.
+    Even {
+        /// Poolers.
+        #[arg(long, value_delimiter = ',', default_value = "5,50,300,2000")]
+        poolers: Vec<usize>,
+        /// How old what is told gets, in ms.
+        #[arg(long, value_delimiter = ',', default_value = "100,1000")]
+        ages: Vec<i64>,
+        /// For all that is drawn.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// A folder for plots by scheme, age and second.
+        #[arg(long)]
+        plots: Option<PathBuf>,
+    },
     /// Check the votes of leases through all orders of events within bounds, and have each of their parts taken away once.
     LeaseModel {
         /// No more states than this are looked at in one check.
@@ -260,6 +275,15 @@
         }
         Command::Experiment { file, out, threads } => experiment(&file, &out, threads),
         Command::Compare { before, after } => compare(&before, &after),
+        Command::Even { poolers, ages, seed, plots } => linnetdeal_lab::even::table(
+            &poolers,
+            &ages,
+            seed,
+            plots.as_deref(),
+            &|line: &dyn std::fmt::Display| say!("{line}"),
+        )
+        .map(|()| true)
+        .map_err(Into::into),
         Command::Emulator { folder, small } => emulator_proof(&folder, small),
         Command::EurekaBench { sizes } => bench(&sizes),
         Command::Load { to, rate, ramp_to, sessions, seconds, warm, deadline, writes, seed } => {
