--- a/crates/daemon/tests/copies.rs
+++ b/crates/daemon/tests/copies.rs
@@ -21,9 +21,10 @@
     ids(&of.server).iter().any(|own| own == id)
 }
 
-/// Has these servers answer at once for a while: it has to be known how long answers take.
+/// Has these servers answer at once for a while: it has to be known how long answers take, or the first guess of it holds a second
+/// copy back for longer than a watch may be silent.
 fn warm_up(client: &mut Client, servers: &[&Slow], statement: fn(&str) -> String) {
-    for turn in 0..20 {
+    for turn in 0..60 {
         let id = format!("w{turn}");
         client.send(&statement(&id));
         answer(servers, &id);
