--- a/crates/fleet/src/even/figures.rs
+++ b/crates/fleet/src/even/figures.rs
@@ -35,7 +35,7 @@
     pub peaks: Vec<f64>,
     /// Seconds of servers that had less than half of the mean for two windows on end, warm and in service.
     pub idle_seconds: u64,
-    /// The greatest load within 250 ms, and how often one was over [`HERD`].
+    /// The greatest load within 250 ms, and how often one was over `HERD`, 4 times the mean.
     pub swing: f64,
     /// See `swing`.
     pub herds: u64,
