--- a/crates/coordination/tests/work.rs
+++ b/crates/coordination/tests/work.rs
@@ -680,16 +680,13 @@
     fleet
 }
 
-/// Steps until the machine is free; how many words' time that took.
-fn words_until_free(fleet: &mut Fleet) -> Option<i64> {
-    let began = fleet.now;
-    for _ in 0..600 {
+/// The machine is free in less than so many words' time.
+fn free_within(fleet: &mut Fleet, words: i64, seed: u64) {
+    let end = fleet.now + Span(EVERY.0 * words);
+    while fleet.view().is_none_or(|view| view.machines[0].state != State::Free) {
+        assert!(fleet.now < end, "seed {seed}: {:?}", fleet.view());
         fleet.step();
-        if fleet.view().is_some_and(|view| view.machines[0].state == State::Free) {
-            return Some((fleet.now - began).0 / EVERY.0);
-        }
     }
-    None
 }
 
 #[test]
@@ -699,8 +696,7 @@
         fleet.kill(4);
         (0..10).for_each(|_| fleet.step());
         fleet.start(4);
-        let took = words_until_free(&mut fleet);
-        assert!(took.is_some_and(|words| words < 20), "seed {seed}: {took:?}, {:?}", fleet.view());
+        free_within(&mut fleet, 20, seed);
     }
 }
 
@@ -714,8 +710,7 @@
         let pooler = fleet.poolers[4].as_mut().unwrap();
         pooler.work.hear(now, Who { number: 0, life: 1 }, Note::Tell { record });
         pooler.busy.clear();
-        let took = words_until_free(&mut fleet);
-        assert!(took.is_some_and(|words| words < 20), "seed {seed}: {took:?}, {:?}", fleet.view());
+        free_within(&mut fleet, 20, seed);
     }
 }
 
@@ -733,8 +728,7 @@
     let now = fleet.now;
     let leader = fleet.poolers[3].as_mut().unwrap();
     leader.work.hear(now, Who { number: 0, life: 1 }, Note::Tell { record });
-    let took = words_until_free(&mut fleet);
-    assert!(took.is_some_and(|words| words < 40), "{took:?}, {:?}", fleet.view());
+    free_within(&mut fleet, 40, 1);
 }
 
 #[test]
@@ -758,8 +752,7 @@
         let now = fleet.now;
         fleet.poolers[3].as_mut().unwrap().work.hear(now, old, Note::Word(word));
         fleet.poolers[4].as_mut().unwrap().busy.clear();
-        let took = words_until_free(&mut fleet);
-        assert!(took.is_some_and(|words| words < 20), "seed {seed}: {took:?}, {:?}", fleet.view());
+        free_within(&mut fleet, 20, seed);
     }
 }
 
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -30,7 +30,7 @@
 const LAG_MEMORY: Span = Span::millis(1_000);
 const REPORT_AGE: Span = Span::millis(500);
 /// Deviations above the mean of a class's answers, and the least part of its aim, after which another attempt
-/// is made: work that varies by chance takes 4 of them once in 50 times, 8 once in 900. After fewer one is
+/// is made: work that varies by chance takes 4 of them once in 50 times, 8 once in 1,000. After fewer one is
 /// overdue; a member is silent after so many times that (1 tried).
 const PATIENCE: f64 = 8.0;
 const LEAST_PATIENCE: f64 = 0.3;
--- a/crates/fleet/src/even.rs
+++ b/crates/fleet/src/even.rs
@@ -127,12 +127,12 @@
 
     /// What clients ask at that second, as a multiple of the usual.
     fn step(&self, second: f64) -> f64 {
-        if self.troubles && (6.0..10.0).contains(&second) { 1.4 } else { 1.0 }
+        if self.troubles && STEP.contains(&second) { 1.4 } else { 1.0 }
     }
 
     /// Which of [`ASKED`] holds then.
     fn shifted(&self, at: Time) -> usize {
-        usize::from(self.troubles && at >= second(23))
+        usize::from(self.troubles && at >= second(SHIFT))
     }
 }
 
@@ -155,6 +155,9 @@
     Errs(bool),
 }
 
+/// When clients ask more, and from when zones change places, in seconds.
+const STEP: std::ops::Range<f64> = 6.0..10.0;
+const SHIFT: i64 = 23;
 /// The troubles: when in ms, and what.
 const TROUBLES: [(i64, Trouble); 8] = [
     (11_000, Trouble::Slow(200)),
@@ -167,10 +170,11 @@
     (22_000, Trouble::Errs(false)),
 ];
 
-/// When troubles begin, in seconds: the step, slow servers, the restart, the return, errors, the shift.
+/// When troubles begin and end, in seconds: the step, what befalls servers, the shift.
 #[must_use]
 pub fn troubles() -> Vec<f64> {
-    vec![6.0, 10.0, 11.0, 14.0, 15.0, 17.3, 21.0, 23.0]
+    let servers = TROUBLES.iter().map(|(ms, _)| *ms as f64 / 1_000.0);
+    [STEP.start, STEP.end].into_iter().chain(servers).chain([SHIFT as f64]).collect()
 }
 
 /// A request, as its client asks it: the same for every scheme.
--- a/crates/fleet/src/even/scheme.rs
+++ b/crates/fleet/src/even/scheme.rs
@@ -8,7 +8,6 @@
 
 /// As in `choice.rs`.
 const THRESHOLD: f64 = 1.2;
-const FORWARD: usize = 2;
 const LONGEST_WAIT: f64 = 4.0;
 /// The members that a pooler's ring subset has of each group.
 const APERTURE: usize = 3;
@@ -231,7 +230,7 @@
 
     fn step(&self, pool: &[u32], first: usize) -> u32 {
         let valid = THRESHOLD * self.loads.iter().sum::<f64>() / pool.len() as f64;
-        let mut steps = (0..=FORWARD.min(pool.len() - 1)).map(|step| (first + step) % pool.len());
+        let mut steps = (0..=forward::FORWARD.min(pool.len() - 1)).map(|step| (first + step) % pool.len());
         pool[steps.find(|at| self.loads[*at] <= valid).unwrap_or(first)]
     }
 
--- a/crates/fleet/tests/forward.rs
+++ b/crates/fleet/tests/forward.rs
@@ -3,6 +3,9 @@
 use linnetdeal_core::{Slowness, Span, Time, subset};
 use linnetdeal_fleet::even::forward::{FORWARD, least};
 use proptest::prelude::*;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{RngCore, SeedableRng};
+use rand_distr::{Distribution, Exp1};
 use std::cell::Cell;
 
 proptest! {
@@ -49,24 +52,19 @@
     const ROUTERS: u32 = 300;
     const MEMBERS: usize = 12;
     let now = Time(1_000_000_000);
-    let mut state: u64 = 42;
-    let mut draw = || {
-        // A linear congruence is enough for a test that wants no luck of its own.
-        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        (state >> 32) as f64 / f64::from(u32::MAX)
-    };
+    let mut rng = ChaCha8Rng::seed_from_u64(42);
     let mut got = [0u32; MEMBERS];
     for rank in 0..ROUTERS {
         let mut slow = [Slowness::default(); MEMBERS];
         for (at, slow) in slow.iter_mut().enumerate() {
             for _ in 0..8 {
                 let pace = if at == 5 { 2.0 } else { 1.0 };
-                slow.learn(now, 1, -pace * (1.0 - draw()).max(1e-9).ln());
+                let takes: f64 = Exp1.sample(&mut rng);
+                slow.learn(now, 1, pace * takes);
             }
         }
         for _ in 0..20 {
-            let dice = (draw() * f64::from(u32::MAX)) as usize;
-            let first = subset::first(dice, rank, ROUTERS, MEMBERS);
+            let first = subset::first(rng.next_u32() as usize, rank, ROUTERS, MEMBERS);
             got[least(first, MEMBERS, |at| slow[at].now(now))] += 1;
         }
     }
