Clients' connections: no answer is held back, none is owed at a close, no endless startup

Cause: frontend.rs admit left Nagle's algorithm on, so that an answer behind another waited 42 ms for an acknowledgement; commands ended the connection at the eighth useless command, and let the seat go after each, whatever stood read behind it; begin counted no encryption requests. Change: TCP_NODELAY; the guard's close facts are asked first; TLS and GSS may be asked for once each.

--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -43,6 +43,8 @@
 /// same thing, sent again as soon as it was turned away, would keep others waiting.
 const REST: Duration = Duration::from_millis(50);
 const MOST_ERRORS: u32 = 8;
+/// A client may ask for each of TLS and GSS once, as PostgreSQL has it.
+const MOST_ENCRYPTION_REQUESTS: u32 = 2;
 /// Emptied by hand, it goes on as before for so long: the front asks ten times a second and stops 0.2 s after a no.
 const EMPTIED: Duration = Duration::from_millis(600);
 /// What a client may send ahead while its request is out; beyond it nothing more is read until then, and its end, which
@@ -153,6 +155,10 @@
 
 fn admit(door: &Rc<Door>, stream: Async<TcpStream>, room: bool) {
     door.counters.clients.add();
+    // An answer that the system holds back until an earlier one is acknowledged would go if the connection was reset.
+    if let Err(error) = stream.get_ref().set_nodelay(true) {
+        tracing::debug!(target: "clients", "TCP_NODELAY: {error}");
+    }
     let owner = door.clone();
     let task = async move {
         let seat = owner.seats.take();
@@ -272,14 +278,19 @@
 
     /// The startup; false if there is no session after it.
     async fn begin(&mut self, room: bool) -> Result<bool, ClientError> {
+        let mut wishes = 0;
         loop {
             if let Some((kind, size)) = pg::startup(self.buffer.data())? {
                 self.buffer.consume(size);
                 match kind {
+                    Startup::Encryption if wishes == MOST_ENCRYPTION_REQUESTS => {
+                        return Err(PgError::Malformed("encryption request").into());
+                    }
                     Startup::Encryption => self.send(&[b"N"]).await?,
                     Startup::Cancel => return Ok(false),
                     Startup::Session => break,
                 }
+                wishes += 1;
             } else if !self.more().await? {
                 return Ok(false);
             }
@@ -330,7 +341,9 @@
                 Command::Rejected(code, words) => {
                     self.door.counters.rejected.add();
                     self.errors += 1;
-                    if self.errors >= MOST_ERRORS {
+                    // A request that was read behind it is owed its answer first.
+                    let may_close = self.close_facts().may_close();
+                    if self.errors >= MOST_ERRORS && may_close {
                         self.closes = CloseReason::Errors;
                         return self.part(code, &words, None).await;
                     }
@@ -343,7 +356,9 @@
                     let rest = async {
                         Timer::after(REST).await;
                     };
-                    if self.seat.yielding(Rank::Silent, self.since, rest).await.is_none() {
+                    if !may_close {
+                        rest.await;
+                    } else if self.seat.yielding(Rank::Silent, self.since, rest).await.is_none() {
                         self.closes = CloseReason::MadeRoom;
                         return Ok(());
                     }
