Tests: three crossings of a new configuration, or of room that comes back, each seen red

Seen: after SIGHUP with the fields of load reports in another order the role is read where the position stands, and a group whose primary answers gets no write through for 8 s; a connection is used that is older than the new settings have servers keep one; who connects once there is room is turned away with 53300, since room was last looked at when all seats were taken.

--- a/crates/daemon/tests/invariants.rs
+++ b/crates/daemon/tests/invariants.rs
@@ -75,6 +75,66 @@
     assert_eq!(leaves.got().len(), 1, "the drain was there when the process went on");
 }
 
+#[test]
+fn load_reports_are_read_by_the_fields_of_the_present_settings() {
+    // Both turn writes away; one has become the primary by the time it is probed, and its reports name the fields.
+    let member = |id: &'static str, heir: bool| {
+        let promoted = std::sync::atomic::AtomicBool::new(false);
+        Server::new(id, move |wire, statement| {
+            use std::sync::atomic::Ordering::Relaxed;
+            if statement.starts_with("SHOW") {
+                promoted.store(heir, Relaxed);
+                let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+                let report = format!("x0={:.6},x1={}", now.as_secs_f64(), u8::from(heir));
+                wire.row(report.as_bytes(), "", "");
+            } else if promoted.load(Relaxed) {
+                wire.row(b"done", "master", peers::NOW_MS);
+            } else {
+                wire.error("25006", "replica");
+            }
+            true
+        })
+    };
+    let (heir, other) = (member("s-2", true), member("s-1", false));
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![other.entry("up", "master"), heir.entry("up", "replica")]);
+    let text = peers::config(&discovery, Vec::new(), 1_024);
+    pooler.configure(&text.replace("[\"x0\",\"x1\"]", "[\"x1\",\"x0\"]"));
+    pooler.signal("HUP");
+    pooler.logged("configuration read again");
+    let mut client = Client::connect(&pooler);
+    let write = peers::top_up("1").replace("d=8000", "d=8000");
+    assert_eq!(client.ask(&write).value.as_deref(), Some(&b"done"[..]), "a report showed the primary");
+    assert_eq!((other.got().len(), heir.got().len()), (1, 2), "a walk round the group, then straight there");
+}
+
+#[test]
+fn connections_are_kept_no_longer_than_the_present_settings_say() {
+    let (tell, ports) = channel();
+    let tell = Mutex::new(tell);
+    let server = Server::new("s-1", move |wire, statement| {
+        if statement.starts_with("SELECT") {
+            tell.lock().unwrap().send(wire.stream.peer_addr().unwrap().port()).unwrap();
+        }
+        wire.row(b"s-1", "replica", peers::NOW_MS);
+        true
+    });
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![server.entry("up", "replica")]);
+    let mut client = Client::connect(&pooler);
+    client.ask(&peers::menu("1"));
+    // Servers close what is idle for 30 ms from now on: a connection may be used for a part of that.
+    let text = peers::config(&discovery, Vec::new(), 1_024);
+    pooler.configure(&text.replace("\"Keepalive\":60000.0", "\"Keepalive\":30.0"));
+    pooler.signal("HUP");
+    pooler.logged("configuration read again");
+    std::thread::sleep(Duration::from_millis(30));
+    client.ask(&peers::menu("2"));
+    let ports: Vec<u16> = ports.try_iter().collect();
+    assert_eq!(ports.len(), 2);
+    assert_ne!(ports[0], ports[1], "the kept connection was older than servers keep one");
+}
+
 #[test]
 fn a_statement_answered_with_57p03_may_have_run() {
     // Only as the answer to a session's start does that code prove that nothing ran.
@@ -153,3 +213,39 @@
     // The system waits 40 ms for what it holds back to be acknowledged; it goes if the connection is reset meanwhile.
     assert!(gaps[10] < Duration::from_millis(20), "{gaps:?}");
 }
+
+/// A configuration with so few descriptors has seats for eight clients.
+const FEW: usize = 24;
+const SEATS: usize = 8;
+
+#[test]
+fn who_connects_once_there_is_room_again_is_not_turned_away() {
+    let (open, server) = peers::held("s-1");
+    let other = plain("s-2", "replica");
+    let discovery = Discovery::new();
+    let pooler = Pooler::within(&discovery, vec![server.entry("up", "replica")], FEW);
+    let (_, watch) = discovery.watch();
+    let ask = |at: usize| {
+        let mut client = Client::connect(&pooler);
+        client.send(&peers::menu(&at.to_string()));
+        client
+    };
+    let mut clients: Vec<Client> = (0..SEATS).map(ask).collect();
+    pooler.counts(&format!(" taken={SEATS} "));
+    // All seats are taken by open requests, and the next client is waited for. Then all of them leave.
+    watch.send(Some(peers::list(42, false, vec![other.entry("up", "")]))).unwrap();
+    drop(open);
+    clients.iter_mut().for_each(|client| assert!(client.answer().tags.ends_with('Z')));
+    drop(clients);
+    peers::until(|| {
+        let fds = std::fs::read_dir(format!("/proc/{}/fd", pooler.child.id())).unwrap();
+        let sockets = fds.flatten().filter_map(|fd| std::fs::read_link(fd.path()).ok());
+        // Six to the server, two for signals, the listening one and the watch.
+        sockets.filter(|to| to.to_string_lossy().starts_with("socket:")).count() < SEATS + 8
+    });
+    let mut late = Client::dial(&pooler, b"");
+    let answer = late.answer();
+    assert!(answer.tags.ends_with('Z'), "{answer:?}");
+    let mut again = Client::connect(&pooler);
+    assert!(again.ask(&peers::menu("9")).tags.ends_with('Z'));
+}
