A new configuration reaches the connections too, and room is looked at when a client comes

Cause: signals.rs reload gave the settings to the module alone, while upstream.rs read reports, kept connections and timed dials by those of the start; frontend.rs run used the room found before a client was waited for. Change: Pool::set_host in the step of the reload; has_room is asked once more when the client is there.

--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -133,6 +133,8 @@
             None if kept => door.life.deaf.off().await,
             None => return,
             Some(Ok((stream, room))) => {
+                // It may have been waited for long since all seats were taken.
+                let room = room || door.seats.has_room();
                 admit(&door, stream, room);
                 // A flood of connections holds up nobody who is already here.
                 yield_now().await;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -201,6 +201,7 @@
             classes: classes.clone(),
             tenants: tenants.clone(),
             driver: driver.clone(),
+            pool: pool.clone(),
         };
         let door = frontend::Door {
             executor: executor.clone(),
--- a/crates/net/src/signals.rs
+++ b/crates/net/src/signals.rs
@@ -10,6 +10,7 @@
 use crate::seats::Seats;
 use crate::succession::Shared;
 use crate::tenants::Tenants;
+use crate::upstream::Pool;
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
@@ -46,6 +47,8 @@
     pub(crate) tenants: Rc<Tenants>,
     /// The module.
     pub(crate) driver: Rc<Driver>,
+    /// The connections to servers.
+    pub(crate) pool: Rc<Pool>,
 }
 
 /// Keeps signals from here on, to be handled once the pooler is there: before that each of them would end the process.
@@ -96,6 +99,8 @@
                 );
                 return;
             }
+            // In the same step: what reports hold is read by the names that the module counts by.
+            handler.pool.set_host(host);
             handler.shown.counters.reloads.add();
             tracing::info!("configuration read again, discovery at {:?}", config.discovery);
             handler.source.follow(config.discovery);
