--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -665,6 +665,12 @@
         })
     }
 
+    /// How many sessions are remembered.
+    #[must_use]
+    pub fn sessions(&self) -> usize {
+        self.tokens.len()
+    }
+
     /// The grace of drains, by the present settings.
     #[must_use]
     pub fn drain_grace(&self) -> Span {
