--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -13,6 +13,7 @@
 use crate::interface::*;
 use crate::pace::Pace;
 use crate::peers::{Fact, Peers};
+use crate::sessions::Sessions;
 use crate::state::*;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
@@ -88,8 +89,6 @@
 /// The least retry-after (at once would add to a crowd), and when a failed call for the list is made again.
 const LEAST_RETRY_AFTER: Span = Span::millis(100);
 const ASK_AGAIN: Span = Span::millis(1_000);
-/// Remembered sessions beyond this many are dropped once every member has what they wrote.
-const TOKENS: usize = 8_192;
 /// How long counts of the late past last, in microseconds; and at most one log line in this time.
 const MEMORY: f64 = 7e6;
 const LOG_EVERY: Span = Span::millis(1_000);
@@ -110,7 +109,7 @@
     /// Worth served and asked for.
     classes: Vec<Counts>,
     tenants: Vec<Counts>,
-    tokens: HashMap<SessionKey, Time>,
+    sessions: Sessions,
     lengths: Lengths,
     peers: Peers,
     crowd: [Counts; 2],
@@ -141,7 +140,7 @@
             due: BTreeSet::new(),
             waiting: BTreeSet::new(),
             stirred: BTreeSet::new(),
-            tokens: HashMap::new(),
+            sessions: Sessions::default(),
             lengths: Lengths::new(settings.changes),
             peers: Peers::new(seed, &settings),
             crowd: [Counts::default(); 2],
@@ -261,7 +260,7 @@
         let token = match self.settings.tokens {
             // The commit was rounded up and the age may be rounded too: a millisecond on the safe side.
             Tokens::Carried => request.last_write.map(|ago| now - ago + Span::millis(1)),
-            Tokens::Remembered => request.session.and_then(|key| self.tokens.get(&key).copied()),
+            Tokens::Remembered => request.session.and_then(|key| self.sessions.must_see(key)),
         };
         let stretch = request.cost.map_or(Span(0), |cost| cost.times(class.aim_stretch));
         let deadline = now + request.left;
@@ -464,6 +463,10 @@
         self.due.remove(&(open.due, id));
         if let Some(group) = self.groups.get_mut(&open.group) {
             group.held.remove(&(open.arrived, id));
+            // A client may name any group; one without members is kept no longer than its requests.
+            if group.members.is_empty() && group.held.is_empty() {
+                self.groups.remove(&open.group);
+            }
         }
         for (at, attempt) in open.attempts.iter().enumerate() {
             if attempt.open && self.settings.cancels {
@@ -488,7 +491,7 @@
         let wrote = out.filter(|_| write && verdict == Verdict::Ok).and_then(|out| out.session);
         if let Some(key) = wrote {
             let at = note.and_then(|n| n.position).unwrap_or(now);
-            self.tokens.entry(key).and_modify(|token| *token = at.max(*token)).or_insert(at);
+            self.sessions.wrote(key, at);
         }
         let Some(open) = self.open.get_mut(&id) else { return };
         if let Some(attempt) = open.attempts.get_mut(attempt.0 as usize) {
@@ -668,7 +671,7 @@
     /// How many sessions are remembered.
     #[must_use]
     pub fn sessions(&self) -> usize {
-        self.tokens.len()
+        self.sessions.len()
     }
 
     /// The grace of drains, by the present settings.
@@ -897,10 +900,9 @@
             actions.push(Action::Subscribe);
         }
         self.stirred.append(&mut self.waiting);
-        if self.tokens.len() > TOKENS {
-            let floor = self.members.values().filter(|m| self.sendable(m)).map(|m| m.position).min();
-            self.tokens.retain(|_, at| Some(*at) > floor);
-        }
+        let (members, soft) = (self.members.values(), self.settings.soft_removal);
+        let serves = |m: &&Member| m.state == ListState::Healthy || (m.state == ListState::Gone && soft);
+        self.sessions.trim(|| members.filter(serves).map(|m| m.position).min());
     }
 
     /// A request past its deadline is ended; one that waits too long for its answer gets a hedge.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 mod pace;
 pub mod peers;
 pub mod retune;
+pub mod sessions;
 pub mod settings;
 mod slowness;
 mod state;
