--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod say;
 pub mod script;
 pub mod sizes;
+pub mod soak;
 pub mod work;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -107,6 +107,30 @@
         #[arg(long, default_value_t = 4)]
         side_by_side: usize,
     },
+    /// Soak a few dozen processes in overlapping troubles, one seed after another, and find broken variants of the program.
+    Soak {
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many seeds.
+        #[arg(long, default_value_t = 4)]
+        seeds: u64,
+        /// Processes.
+        #[arg(long, default_value_t = 24)]
+        poolers: usize,
+        /// Clients of each.
+        #[arg(long, default_value_t = 4)]
+        clients: usize,
+        /// How long troubles go on in each play, in seconds.
+        #[arg(long, default_value_t = 12)]
+        seconds: u64,
+        /// Seeds for each broken variant; a debug build of the program has them.
+        #[arg(long, default_value_t = 0)]
+        mutant_seeds: u64,
+        /// The library with failing calls of the system, as `SHIM` has it; none without it.
+        #[arg(long, env = "SHIM")]
+        shim: Option<PathBuf>,
+    },
     /// Play plans in the model by each scheme, and plot them.
     WorkModel,
     /// Spread load over servers by each scheme in the model of many poolers; print a table, and what each source of unevenness is worth.
@@ -252,6 +276,25 @@
                 linnetdeal_lab::work::proof::Wanted { folder, only, times, side_by_side, program: program() };
             linnetdeal_lab::work::proof::run(&wanted, |line| say!("{line}"))
         }
+        Command::Soak { seed, seeds, poolers, clients, seconds, mutant_seeds, shim } => {
+            let folder = std::env::temp_dir().join(format!("linnetdeal-soak-{}", std::process::id()));
+            let spec = linnetdeal_lab::soak::Spec {
+                program: program(),
+                shim,
+                folder: folder.clone(),
+                poolers,
+                clients,
+                length: Duration::from_secs(seconds),
+                seed,
+                mutant: None,
+                only: Vec::new(),
+            };
+            let seeds = (seed..seed + seeds).collect();
+            let wanted = linnetdeal_lab::soak::proof::Wanted { spec, seeds, mutant_seeds };
+            let done = linnetdeal_lab::soak::proof::run(&wanted, |line| say!("{line}"));
+            let _ = std::fs::remove_dir_all(folder);
+            done.map_err(Into::into)
+        }
         Command::WorkModel => {
             linnetdeal_lab::work::proof::schemes(&|line: &dyn std::fmt::Display| say!("{line}"))
                 .map(|()| true)
--- a/crates/lab/src/processes/fleet.rs
+++ b/crates/lab/src/processes/fleet.rs
@@ -63,7 +63,7 @@
 }
 
 /// An address of the loopback net that no other fleet of this machine uses, so that ports need not be held.
-fn own_address() -> Ipv4Addr {
+pub(crate) fn own_address() -> Ipv4Addr {
     static NUMBER: AtomicU32 = AtomicU32::new(0);
     let (process, number) = (std::process::id(), NUMBER.fetch_add(1, Ordering::Relaxed));
     let [_, a, b, c] = (process.wrapping_mul(0x9e37_79b1) ^ number.wrapping_mul(0x85eb_ca6b)).to_be_bytes();
--- a/crates/lab/src/processes/process.rs
+++ b/crates/lab/src/processes/process.rs
@@ -75,7 +75,9 @@
         std::fs::write(folder.join("config.json"), config.to_string())?;
         let mut command = Command::new(program);
         command.env("GW_CONFIG", folder.join("config.json"));
-        for inherited in ["LINNETDEAL_OPERATOR", "LINNETDEAL_BEND", "GW_LISTEN_FD", "GW_OPERATOR"] {
+        for inherited in
+            ["LINNETDEAL_OPERATOR", "LINNETDEAL_BEND", "LINNETDEAL_MUTANT", "GW_LISTEN_FD", "GW_OPERATOR"]
+        {
             command.env_remove(inherited);
         }
         if let Some(text) = operator {
@@ -148,6 +150,15 @@
         crate::lock(&self.log).clone()
     }
 
+    /// Puts this text in the place of its configuration.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be written.
+    pub fn configure(&self, text: &str) -> std::io::Result<()> {
+        std::fs::write(self.folder.join("config.json"), text)
+    }
+
     /// Its process id.
     #[must_use]
     pub fn id(&self) -> u32 {
--- /dev/null
+++ b/crates/lab/src/soak/configuration.rs
@@ -0,0 +1,99 @@
+//! What the poolers of a soak are told, and its variations.
+
+use crate::pooler::settings;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The bound on the age of `bundle-menu`.
+pub const BOUND_MS: i64 = 1_500;
+/// The longest that any client waits.
+pub const LONGEST_DEADLINE: Duration = Duration::from_millis(2_000);
+/// So many descriptors a process.
+const SOCKETS: u32 = 256;
+
+/// The classes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    /// A read of bounded age.
+    BundleMenu,
+    /// A read that sees its session's writes.
+    MyRecent,
+    /// A read from anywhere.
+    UsageHistory,
+    /// A read that sees all.
+    BalanceCheck,
+    /// A write that must not run twice.
+    TopUp,
+}
+
+impl Class {
+    /// The class that is called so.
+    pub fn named(name: &str) -> Option<Self> {
+        let all = [Self::BundleMenu, Self::MyRecent, Self::UsageHistory, Self::BalanceCheck, Self::TopUp];
+        all.into_iter().find(|class| class.name() == name)
+    }
+
+    /// Its name.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::BundleMenu => "bundle-menu",
+            Self::MyRecent => "my-recent",
+            Self::UsageHistory => "usage-history",
+            Self::BalanceCheck => "balance-check",
+            Self::TopUp => "top-up",
+        }
+    }
+
+    /// The class that a number below 100 draws.
+    pub const fn drawn(dice: u64) -> Self {
+        match dice {
+            0..30 => Self::BundleMenu,
+            30..50 => Self::MyRecent,
+            50..65 => Self::UsageHistory,
+            65..75 => Self::BalanceCheck,
+            _ => Self::TopUp,
+        }
+    }
+}
+
+/// What varies in a configuration.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Variation {
+    /// Load reports are counted by their fields in the other order.
+    pub fields_swapped: bool,
+    /// Servers are said to close idle connections this soon.
+    pub keepalive: Option<Duration>,
+    /// Clients of writes wait no longer than a second.
+    pub short_writes: bool,
+}
+
+/// The addresses of one pooler.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// Its number.
+    pub number: usize,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+}
+
+/// The configuration of a pooler at its `start`-th start.
+pub fn configuration(place: &Place, fleet: usize, seed: u64, known: &Value, variation: Variation) -> Value {
+    let mut settings = settings();
+    settings["FleetSize"] = fleet.into();
+    settings["Rank"] = place.number.into();
+    settings["Lanes"][4]["Deadline"] =
+        if variation.short_writes { 1_000.0 } else { LONGEST_DEADLINE.as_millis() as f64 }.into();
+    if variation.fields_swapped {
+        settings["Report"]["Fields"] = json!(["x1", "x0"]);
+    }
+    if let Some(keepalive) = variation.keepalive {
+        settings["Limits"]["Keepalive"] = (keepalive.as_millis() as f64).into();
+    }
+    json!({"name": format!("n{}", place.number), "listen": place.listen.to_string(),
+        "discovery": place.discovery.to_string(), "seed": format!("{seed:016x}"),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS},
+        "peers": [], "known": known, "settings": settings})
+}
--- /dev/null
+++ b/crates/lab/src/soak/poolers.rs
@@ -0,0 +1,317 @@
+//! The poolers of a soak: processes that are told to end, killed, paused and given new configurations, and start again from
+//! nothing with their names and addresses.
+
+use super::audit::Rule;
+use super::configuration::{LONGEST_DEADLINE, Place, Variation, configuration};
+use super::discovery::{Agent, Discovery};
+use super::run::Spec;
+use super::world::World;
+use crate::processes::process::Process;
+use async_io::{Async, Timer};
+use futures_lite::future::or;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use linnetdeal_net::pg::write;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io::Error;
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// New connections keep arriving for so long after a process was told to end.
+const ARRIVALS: Duration = Duration::from_millis(300);
+/// SIGKILL comes so long after the longest deadline.
+const KILL_GRACE: Duration = Duration::from_millis(700);
+/// A busy machine may end a process so much later.
+const LATE_END: Duration = Duration::from_millis(500);
+/// A process that is not ready by then never will be.
+const LATEST_START: Duration = Duration::from_secs(10);
+/// How often something is looked at.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// How far a pooler has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// No process runs.
+    Down,
+    /// One has been started.
+    Starting,
+    /// It serves.
+    Ready,
+    /// It was told to end then.
+    Leaving(Instant),
+}
+
+/// One pooler.
+pub struct Pooler {
+    /// Its number and addresses; that of discovery is the agent's.
+    place: Place,
+    /// What tells it the list.
+    pub agent: Rc<Agent>,
+    process: RefCell<Option<Process>>,
+    state: Cell<State>,
+    /// How often it was started.
+    starts: Cell<u64>,
+    killed: Cell<Option<Instant>>,
+    variation: Cell<Variation>,
+    shim_counts: RefCell<Vec<PathBuf>>,
+}
+
+impl Pooler {
+    /// A place with no process yet.
+    #[must_use]
+    pub fn new(place: Place, agent: Rc<Agent>) -> Rc<Self> {
+        Rc::new(Self {
+            place,
+            agent,
+            process: RefCell::default(),
+            state: Cell::new(State::Down),
+            starts: Cell::new(0),
+            killed: Cell::new(None),
+            variation: Cell::default(),
+            shim_counts: RefCell::default(),
+        })
+    }
+
+    /// Its number.
+    #[must_use]
+    pub fn number(&self) -> usize {
+        self.place.number
+    }
+
+    /// How far it has come.
+    #[must_use]
+    pub fn state(&self) -> State {
+        self.state.get()
+    }
+
+    /// How often it was started: what it remembers of sessions is of the latest start.
+    #[must_use]
+    pub fn starts(&self) -> u64 {
+        self.starts.get()
+    }
+
+    /// Whether the front sends new connections.
+    #[must_use]
+    pub fn takes_clients(&self) -> bool {
+        match self.state.get() {
+            State::Ready => true,
+            State::Leaving(since) => since.elapsed() < ARRIVALS,
+            State::Down | State::Starting => false,
+        }
+    }
+
+    /// Whether its process was killed since then.
+    #[must_use]
+    pub fn killed_since(&self, since: Instant) -> bool {
+        self.killed.get().is_some_and(|at| at >= since)
+    }
+
+    /// A connection to it.
+    ///
+    /// # Errors
+    ///
+    /// When nobody listens.
+    pub async fn connect(&self) -> std::io::Result<Async<TcpStream>> {
+        let stream = Async::<TcpStream>::connect(self.place.listen).await?;
+        stream.get_ref().set_nodelay(true)?;
+        Ok(stream)
+    }
+
+    /// Starts a process and waits until it serves.
+    pub async fn start(&self, world: &World, spec: &Spec, list: &Discovery) {
+        self.starts.set(self.starts.get() + 1);
+        world.audit.borrow_mut().note(self.number(), "start");
+        self.state.set(State::Starting);
+        if let Err(error) = self.begin(world, spec, list) {
+            return self.crashed(world, &format!("start: {error}"));
+        }
+        world.audit.borrow_mut().started(self.number(), Instant::now());
+        let end = Instant::now() + LATEST_START;
+        while !self.answers().await {
+            if self.has_ended() || Instant::now() > end {
+                return self.crashed(world, "it is not ready");
+            }
+            Timer::after(LOOK).await;
+        }
+        if self.state.get() == State::Starting {
+            self.state.set(State::Ready);
+        }
+    }
+
+    fn begin(&self, world: &World, spec: &Spec, list: &Discovery) -> std::io::Result<()> {
+        let place = Place { discovery: self.agent.address(), ..self.place.clone() };
+        let seed = world.below(u64::MAX);
+        let known = list.known(&self.agent);
+        let config = configuration(&place, spec.poolers, seed, &known, self.variation.get());
+        let mut variables = Vec::new();
+        if let Some(mutant) = &spec.mutant {
+            variables.push(("LINNETDEAL_MUTANT", mutant.clone()));
+        }
+        // Two in three run with calls that fail, one in three with a wall clock that is stepped.
+        if let Some(shim) = spec.shim.as_ref().filter(|_| world.chance(667)) {
+            let name = format!("shim-{}-{}-{seed:x}.txt", self.number(), self.starts.get());
+            let counts = spec.folder.join(name);
+            variables.push(("LD_PRELOAD", shim.display().to_string()));
+            variables.push(("SHIM_SEED", world.below(1 << 40).to_string()));
+            variables.push(("SHIM_PER_MILLE", (1 + world.below(20)).to_string()));
+            variables.push(("SHIM_COUNTS", counts.display().to_string()));
+            if world.chance(333) {
+                let steps = [3_600_000, -3_600_000, 7_000, -7_000];
+                variables.push(("SHIM_WALL_STEP_MS", steps[world.below(4) as usize].to_string()));
+            }
+            self.shim_counts.borrow_mut().push(counts);
+        }
+        let process = Process::start(&spec.program, &config, None, &variables)?;
+        *self.process.borrow_mut() = Some(process);
+        Ok(())
+    }
+
+    /// Whether it answers an empty query.
+    async fn answers(&self) -> bool {
+        let asks = async {
+            let Ok(stream) = self.connect().await else { return false };
+            let mut out = Vec::new();
+            write::startup(&mut out, "backend", "store");
+            write::query(&mut out, "");
+            let mut stream = &stream;
+            if stream.write_all(&out).await.is_err() {
+                return false;
+            }
+            let (mut read, mut bytes) = (Vec::new(), [0; 1_024]);
+            while let Ok(count @ 1..) = stream.read(&mut bytes).await {
+                read.extend_from_slice(&bytes[..count]);
+                if read.windows(5).any(|five| five == b"I\0\0\0\x04") {
+                    return true;
+                }
+            }
+            false
+        };
+        or(asks, async {
+            Timer::after(Duration::from_secs(1)).await;
+            false
+        })
+        .await
+    }
+
+    fn has_ended(&self) -> bool {
+        self.process
+            .borrow_mut()
+            .as_mut()
+            .is_none_or(|process| matches!(process.exited(), Ok(Some(_)) | Err(_)))
+    }
+
+    /// Something is wrong if a process that was not told to end has ended.
+    pub fn look(&self, world: &World) {
+        if matches!(self.state.get(), State::Ready | State::Starting) && self.has_ended() {
+            self.crashed(world, "it has ended by itself");
+        }
+    }
+
+    fn crashed(&self, world: &World, why: &str) {
+        let log = self.process.borrow().as_ref().map(Process::log).unwrap_or_default();
+        let last = log.iter().rev().take(3).rev().cloned().collect::<Vec<_>>().join(" | ");
+        let detail = format!("pooler {}: {why}: {last}", self.number());
+        world.audit.borrow_mut().violated(Rule::Crash, &detail);
+        self.killed.set(Some(Instant::now()));
+        self.bury(world);
+    }
+
+    /// Takes down what its own check has counted, and lets go of the process.
+    fn bury(&self, world: &World) {
+        self.state.set(State::Down);
+        let Some(mut process) = self.process.borrow_mut().take() else { return };
+        process.kill();
+        for line in process.log() {
+            if let Some((_, what)) = line.split_once("violated: ") {
+                let detail = format!("pooler {}: {what}", self.number());
+                world.audit.borrow_mut().violated(Rule::Invariant, &detail);
+            }
+            if line.contains("panicked") {
+                world.audit.borrow_mut().violated(Rule::Crash, &format!("pooler {}: {line}", self.number()));
+            }
+        }
+    }
+
+    fn signal(&self, name: &str) -> std::io::Result<()> {
+        let process = self.process.borrow();
+        process.as_ref().map_or(Err(Error::other("no process")), |process| process.signal(name))
+    }
+
+    /// Tells the process to end and waits for that.
+    pub async fn stop(&self, world: &World) {
+        if self.signal("TERM").is_err() {
+            return;
+        }
+        let told = Instant::now();
+        world.audit.borrow_mut().note(self.number(), "SIGTERM");
+        self.state.set(State::Leaving(told));
+        while !self.has_ended() {
+            if told.elapsed() > LONGEST_DEADLINE + KILL_GRACE + LATE_END {
+                return self.crashed(world, "it does not end when told to");
+            }
+            Timer::after(LOOK).await;
+        }
+        let status = self.process.borrow_mut().as_mut().map(Process::exited);
+        if !matches!(&status, Some(Ok(Some(status))) if status.success()) {
+            return self.crashed(world, &format!("it ended with {status:?}"));
+        }
+        self.bury(world);
+    }
+
+    /// Kills the process.
+    pub fn kill(&self, world: &World) {
+        self.killed.set(Some(Instant::now()));
+        self.bury(world);
+    }
+
+    /// Stops it for so long.
+    pub async fn pause(&self, length: Duration) {
+        if self.signal("STOP").is_ok() {
+            Timer::after(length).await;
+            let _ = self.signal("CONT");
+        }
+    }
+
+    /// Gives it a configuration, after one that can't be used if `broken`.
+    pub async fn reload(&self, world: &World, spec: &Spec, list: &Discovery, broken: bool) {
+        let variation = Variation {
+            fields_swapped: world.chance(500),
+            keepalive: world.chance(500).then(|| Duration::from_millis(100)),
+            short_writes: world.chance(500),
+        };
+        world.audit.borrow_mut().note(self.number(), "SIGHUP");
+        if broken && self.configure("{\"settings\": 7").is_ok() {
+            let _ = self.signal("HUP");
+            Timer::after(Duration::from_millis(world.below(20))).await;
+        }
+        self.variation.set(variation);
+        let place = Place { discovery: self.agent.address(), ..self.place.clone() };
+        let config = configuration(&place, spec.poolers, 1, &list.known(&self.agent), variation);
+        if self.configure(&config.to_string()).is_ok() {
+            let _ = self.signal("HUP");
+        }
+    }
+
+    fn configure(&self, text: &str) -> std::io::Result<()> {
+        let process = self.process.borrow();
+        process.as_ref().map_or(Err(Error::other("no process")), |process| process.configure(text))
+    }
+
+    /// How often each call of the system was made to fail.
+    #[must_use]
+    pub fn shim_counts(&self) -> BTreeMap<String, u64> {
+        let mut all = BTreeMap::new();
+        for path in self.shim_counts.borrow().iter() {
+            for pair in std::fs::read_to_string(path).unwrap_or_default().split_whitespace() {
+                if let Some((name, Ok(count))) =
+                    pair.split_once('=').map(|(name, of)| (name, of.parse::<u64>()))
+                {
+                    *all.entry(name.to_owned()).or_default() += count;
+                }
+            }
+        }
+        all
+    }
+}
--- /dev/null
+++ b/crates/lab/src/soak/report.rs
@@ -0,0 +1,69 @@
+//! What a soak has shown.
+
+use super::audit::{Audit, Counts, Rule};
+use super::troubles::{Kind, Troubles};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The figures of one play.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// The seed that drew it.
+    pub seed: u64,
+    /// The broken variant that was played, if one was.
+    pub mutant: Option<String>,
+    /// What passed.
+    pub counts: Counts,
+    /// How often each rule was broken.
+    pub violations: BTreeMap<Rule, u64>,
+    /// The first of them in words.
+    pub details: Vec<String>,
+    /// How often each trouble was injected.
+    pub injected: BTreeMap<Kind, u64>,
+    /// Pairs of kinds that held at the same time.
+    pub pairs: BTreeSet<(Kind, Kind)>,
+    /// How often each call of the system was made to fail.
+    pub calls: BTreeMap<String, u64>,
+    /// How often processes were started.
+    pub starts: u64,
+}
+
+impl Report {
+    /// Of what was judged and injected.
+    #[must_use]
+    pub(super) fn new(seed: u64, mutant: Option<String>, audit: &Audit, troubles: &Troubles) -> Self {
+        Self {
+            seed,
+            mutant,
+            counts: audit.counts.clone(),
+            violations: audit.violations().clone(),
+            details: audit.details().to_vec(),
+            injected: troubles.counts().clone(),
+            pairs: BTreeSet::new(),
+            calls: BTreeMap::new(),
+            starts: 0,
+        }
+    }
+
+    /// How often any rule was broken.
+    #[must_use]
+    pub fn violated(&self) -> u64 {
+        self.violations.values().sum()
+    }
+
+    /// As one JSON object.
+    #[must_use]
+    pub fn json(&self) -> Value {
+        let named = |of: &BTreeMap<Kind, u64>| -> BTreeMap<String, u64> {
+            of.iter().map(|(kind, count)| (format!("{kind:?}"), *count)).collect()
+        };
+        let violations: BTreeMap<String, u64> =
+            self.violations.iter().map(|(rule, count)| (format!("{rule:?}"), *count)).collect();
+        let Counts { asked, served, refused, failed, excused, left, attempts, .. } = self.counts;
+        json!({"seed": self.seed, "mutant": self.mutant, "violated": self.violated(), "violations": violations,
+            "asked": asked, "served": served, "refused": refused, "failed": failed, "excused": excused, "left": left,
+            "attempts": attempts, "starts": self.starts, "worst_drain_ms": self.counts.worst_drain_ms,
+            "worst_departure_ms": self.counts.worst_departure_ms, "worst_overstated_ms": self.counts.worst_overstated_ms,
+            "injected": named(&self.injected), "pairs": self.pairs.len(), "calls": self.calls})
+    }
+}
