Tests: two settings that a reload does not reach, each seen red

Seen on the program as it stood: a new primary is told to all poolers after a configuration that forbids talk; pauses of the watch go by the grace of the start, so that four watches take over 60 s where drains have 0.25 s now.

--- a/crates/core/tests/peers.rs
+++ b/crates/core/tests/peers.rs
@@ -196,3 +196,16 @@
         prop_assert!(peers(2).hear(NOW, 1, &bytes).is_empty());
     }
 }
+
+#[test]
+fn nobody_is_told_anything_once_the_settings_forbid_it() {
+    for allowed in [true, false] {
+        let mut host = Host::new(talk(), 3);
+        host.probed(1, true, 0);
+        host.router.retune(Settings { peers: allowed, ..talk() });
+        host.now = host.now + Span::millis(2_000);
+        let actions = host.probed(2, true, 0);
+        let tells = actions.iter().filter(|action| matches!(action, Action::Tell { .. })).count();
+        assert_eq!(tells > 0, allowed, "{actions:?}");
+    }
+}
--- a/crates/daemon/tests/invariants.rs
+++ b/crates/daemon/tests/invariants.rs
@@ -103,7 +103,7 @@
     pooler.signal("HUP");
     pooler.logged("configuration read again");
     let mut client = Client::connect(&pooler);
-    let write = peers::top_up("1").replace("d=8000", "d=8000");
+    let write = peers::top_up("1");
     assert_eq!(client.ask(&write).value.as_deref(), Some(&b"done"[..]), "a report showed the primary");
     assert_eq!((other.got().len(), heir.got().len()), (1, 2), "a walk round the group, then straight there");
 }
@@ -249,3 +249,22 @@
     let mut again = Client::connect(&pooler);
     assert!(again.ask(&peers::menu("9")).tags.ends_with('Z'));
 }
+
+#[test]
+fn a_watch_is_opened_anew_within_the_grace_of_the_present_settings() {
+    let discovery = Discovery::new();
+    let text = peers::config(&discovery, Vec::new(), 1_024);
+    let pooler = Pooler::on(&text.replace("\"DrainGrace\":250.0", "\"DrainGrace\":400000.0"));
+    let (_, mut watch) = discovery.watch();
+    pooler.configure(&text);
+    pooler.signal("HUP");
+    pooler.logged("configuration read again");
+    let began = Instant::now();
+    // By the grace of the start each pause would be of up to 100 s.
+    for generation in 42..46 {
+        watch.send(Some(peers::list(generation, false, Vec::new()))).unwrap();
+        watch.send(None).unwrap();
+        watch = discovery.watch().1;
+    }
+    assert!(began.elapsed() < Duration::from_secs(5), "four watches took {:?}", began.elapsed());
+}
