A reload reaches all that it should; signals are flags; reasons of refusals are counted and logged

Cause: core/peers.rs and the watch's pauses kept what the settings said at the start, and leases' positions the fields of reports; the library read signals as four bytes of a pipe and dropped a part that it had read when the rest would block, so that later signals made no sense. Signals raise flags (signal-hook), and the pipe only wakes. core/given_up.rs names why the module gives a request up. After a standstill a connection is looked at again before it is used. The lease's part has no test of its own.

--- a/crates/core/src/backoff.rs
+++ b/crates/core/src/backoff.rs
@@ -69,8 +69,16 @@
     /// Pauses among so many poolers, by chance from this seed, where drains have this grace.
     #[must_use]
     pub fn new(seed: u64, fleet: u32, drain_grace: Span) -> Self {
-        let soon = drain_grace.times(GRACE_PART).max(LEAST_SOON);
-        Self { rng: ChaCha8Rng::seed_from_u64(seed), fleet: fleet.max(1), soon, refused: 0 }
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut backoff = Self { rng, fleet: 1, soon: LEAST_SOON, refused: 0 };
+        backoff.retune(fleet, drain_grace);
+        backoff
+    }
+
+    /// Goes by this number of poolers and this grace from now on.
+    pub fn retune(&mut self, fleet: u32, drain_grace: Span) {
+        self.fleet = fleet.max(1);
+        self.soon = drain_grace.times(GRACE_PART).max(LEAST_SOON);
     }
 
     /// How long to wait before it is asked again.
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -9,6 +9,7 @@
 
 mod retune;
 
+use crate::given_up::{GivenUp, Reasons};
 use crate::handover::*;
 use crate::interface::*;
 use crate::pace::Pace;
@@ -110,6 +111,7 @@
     classes: Vec<Counts>,
     tenants: Vec<Counts>,
     sessions: Sessions,
+    reasons: Reasons,
     lengths: Lengths,
     peers: Peers,
     crowd: [Counts; 2],
@@ -141,6 +143,7 @@
             waiting: BTreeSet::new(),
             stirred: BTreeSet::new(),
             sessions: Sessions::default(),
+            reasons: Reasons::default(),
             lengths: Lengths::new(settings.changes),
             peers: Peers::new(seed, &settings),
             crowd: [Counts::default(); 2],
@@ -159,6 +162,7 @@
 
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        self.reasons.begin();
         if self.wake.is_some_and(|at| now - at > STALL) {
             self.stalled = now;
         }
@@ -309,8 +313,16 @@
         let held = class.need == Need::Write && change.is_none_or(|change| change.phase() != Phase::Settled);
         let hopeless = !held && waited && (old || now + takes >= last);
         let vain = change.is_some_and(|change| change.in_vain(open.deadline, &self.lengths));
-        if spent || ran || again || hopeless || vain || now + SWEEP >= open.deadline {
-            self.give_up(now, id, actions);
+        let reasons = [
+            (spent, GivenUp::AttemptsSpent),
+            (ran, GivenUp::MayHaveRun),
+            (again, GivenUp::RetryGaveWay),
+            (hopeless, GivenUp::TooLate),
+            (vain, GivenUp::NoPrimaryInTime),
+            (now + SWEEP >= open.deadline, GivenUp::DeadlineOver),
+        ];
+        if let Some((_, why)) = reasons.into_iter().find(|(holds, _)| *holds) {
+            self.give_up(now, id, why, actions);
             return;
         }
         let new = first && now == open.arrived;
@@ -320,7 +332,7 @@
             _ => self.place_read(now, id, actions),
         };
         if to.as_ref().is_some_and(|to| new && self.one_too_many(now, id, self.members[to].role())) {
-            self.give_up(now, id, actions);
+            self.give_up(now, id, GivenUp::Shed, actions);
             return;
         }
         let group = self.groups.entry(gid).or_default();
@@ -438,8 +450,9 @@
     }
 
     /// The final answer to what is given up on, at once: a refusal where a retry does no harm.
-    fn give_up(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
+    fn give_up(&mut self, now: Time, id: RequestId, why: GivenUp, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
+        self.reasons.add(id, why);
         let safe = self.settings.classes[open.class].effect == Effect::Safe;
         if safe || (!open.may_have_run && now + SWEEP < open.deadline) {
             let back = self.change(open).and_then(|change| change.back(now, &self.lengths));
@@ -517,7 +530,7 @@
             return;
         }
         if futile {
-            self.give_up(now, id, actions);
+            self.give_up(now, id, GivenUp::RepeatedErrors, actions);
             return;
         }
         // Proof that nothing ran at the mark moves it to the next member; not what was never sent to it.
@@ -668,6 +681,12 @@
         })
     }
 
+    /// Why requests were given up.
+    #[must_use]
+    pub fn given_up(&self) -> &Reasons {
+        &self.reasons
+    }
+
     /// How many sessions are remembered.
     #[must_use]
     pub fn sessions(&self) -> usize {
@@ -908,7 +927,7 @@
     /// A request past its deadline is ended; one that waits too long for its answer gets a hedge.
     fn look_over(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id).filter(|open| now < open.deadline) else {
-            self.give_up(now, id, actions);
+            self.give_up(now, id, GivenUp::DeadlineOver, actions);
             return;
         };
         let spent = open.attempts.len() as u32 >= open.most;
@@ -968,7 +987,7 @@
                 open.held(id, merit, self.settings.classes[open.class].need)
             });
             let (go, late) = group.change.order(now, held.collect(), &self.lengths);
-            late.into_iter().for_each(|id| self.give_up(now, id, actions));
+            late.into_iter().for_each(|id| self.give_up(now, id, GivenUp::ReleaseTooSlow, actions));
             go.into_iter().for_each(|id| self.place(now, id, actions));
         }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod backoff;
 mod choice;
 mod cold;
+pub mod given_up;
 pub mod guard;
 pub mod handover;
 mod interface;
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -84,6 +84,8 @@
 #[derive(Clone, Debug)]
 pub struct Peers {
     on: bool,
+    /// The settings allow it still.
+    allowed: bool,
     fleet: u32,
     rank: u32,
     site: u32,
@@ -114,6 +116,7 @@
         let price = settings.peer_price.max(1e-6);
         Self {
             on: settings.peers && settings.fleet > 1,
+            allowed: true,
             fleet: settings.fleet,
             // Who was told no number is taken for the first, as ever.
             rank: if settings.rank == Settings::NO_RANK { 0 } else { settings.rank },
@@ -129,6 +132,11 @@
         }
     }
 
+    /// Whether the settings allow talk now. Where they did not at the start there is no way to others.
+    pub fn allow(&mut self, allowed: bool) {
+        self.allowed = allowed;
+    }
+
     /// A member that may be told of.
     pub fn enter(&mut self, member: &MemberId) {
         if !self.on {
@@ -184,7 +192,7 @@
 
     /// What is to be told now.
     pub fn tell(&mut self, now: Time, actions: &mut Vec<Action>) {
-        if !self.on {
+        if !self.on || !self.allowed {
             return;
         }
         let mut news = Vec::new();
@@ -222,7 +230,7 @@
 
     /// The facts of a datagram from the pooler `from`; none of one that is no use.
     pub fn hear(&mut self, now: Time, from: u32, bytes: &[u8]) -> Vec<Fact> {
-        if !self.on || from >= self.fleet || from == self.rank {
+        if !self.on || !self.allowed || from >= self.fleet || from == self.rank {
             return Vec::new();
         }
         let Some((sent, facts)) = open(self.site, bytes) else { return Vec::new() };
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -288,6 +288,7 @@
                 seed,
                 mutant: None,
                 only: Vec::new(),
+                failing_calls: None,
             };
             let seeds = (seed..seed + seeds).collect();
             let wanted = linnetdeal_lab::soak::proof::Wanted { spec, seeds, mutant_seeds };
--- a/crates/net/src/discovery.rs
+++ b/crates/net/src/discovery.rs
@@ -11,8 +11,8 @@
 use async_io::{Async, Timer};
 use event_listener::Event as Bell;
 use futures_lite::future::or;
-use linnetdeal_core::ListState;
 use linnetdeal_core::backoff::{Backoff, Ended};
+use linnetdeal_core::{ListState, Span};
 use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -29,13 +29,20 @@
 pub struct Source {
     address: Cell<Option<SocketAddr>>,
     moved: Bell,
+    /// The number of poolers and the grace of drains by settings that are newer than those of the start.
+    retuned: Cell<Option<(u32, Span)>>,
 }
 
 impl Source {
     /// One that is followed at `address`, or nowhere yet.
     #[must_use]
     pub fn new(address: Option<SocketAddr>) -> Self {
-        Self { address: Cell::new(address), moved: Bell::new() }
+        Self { address: Cell::new(address), moved: Bell::new(), retuned: Cell::new(None) }
+    }
+
+    /// Pauses go by this number of poolers and this grace of drains from now on.
+    pub fn retune(&self, fleet: u32, drain_grace: Span) {
+        self.retuned.set(Some((fleet, drain_grace)));
     }
 
     /// Follows discovery at `address` from now on.
@@ -147,6 +154,9 @@
         if node.source.address.get() != followed {
             continue;
         }
+        if let Some((fleet, drain_grace)) = node.source.retuned.take() {
+            backoff.retune(fleet, drain_grace);
+        }
         let pause = duration(backoff.pause(why));
         tracing::debug!(target: "watch", "watch ended after {:?}, {why:?}; again in {pause:?}", opened.elapsed());
         let moved = node.source.moved.listen();
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -113,8 +113,14 @@
             Action::Send { request, member, timeout } => {
                 self.order(request, Order::Send { member, until: self.clock.now() + timeout });
             }
-            Action::Refuse { request, retry_after } => self.order(request, Order::Refuse { retry_after }),
-            Action::Fail { request } => self.order(request, Order::Fail),
+            Action::Refuse { request, retry_after } => {
+                self.log_given_up(request, "refused");
+                self.order(request, Order::Refuse { retry_after });
+            }
+            Action::Fail { request } => {
+                self.log_given_up(request, "failed");
+                self.order(request, Order::Fail);
+            }
             Action::Cancel { request, attempt } => self.order(request, Order::Cancel { attempt }),
             // A message may get lost anywhere; where there is no room, it is here.
             Action::Tell { to, bytes } => drop(self.tells.try_send((to, bytes))),
@@ -127,6 +133,11 @@
         }
     }
 
+    fn log_given_up(&self, request: RequestId, how: &str) {
+        let why = self.router.borrow().given_up().of(request);
+        tracing::debug!(target: "requests", request = request.0, ?why, "{how} by the module");
+    }
+
     /// A request that has ended already has no mailbox; an order for it is void.
     fn order(&self, request: RequestId, order: Order) {
         if let Some(mailbox) = self.mailboxes.borrow().get(&request) {
@@ -293,7 +304,7 @@
 
 impl fmt::Display for InvariantsShown {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.invariants.borrow().fmt(f)
+        write!(f, "{}; {}", self.0.invariants.borrow(), self.0.router.borrow().given_up())
     }
 }
 
--- a/crates/net/src/leases.rs
+++ b/crates/net/src/leases.rs
@@ -54,8 +54,6 @@
 pub(crate) struct Positions {
     pub(crate) term: Duration,
     pub(crate) every: Duration,
-    /// The fields of a report, in their order.
-    pub(crate) report: Vec<Field>,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) driver: Rc<Driver>,
     pub(crate) pool: Rc<Pool>,
@@ -63,8 +61,9 @@
 }
 
 impl Positions {
+    /// Where a field stands in a report, by the present settings.
     fn at(&self, field: Field) -> Option<usize> {
-        self.report.iter().position(|of| *of == field)
+        self.pool.report_fields().iter().position(|of| *of == field)
     }
 
     /// What a holder has told, as the report of its member. A position only grows, so that it is true however late it comes;
@@ -77,7 +76,7 @@
         for of in told {
             let member = members.iter().map(|(id, _)| id).find(|id| TaskId::of(&id.0) == of.member);
             let (Some(member), Some(at)) = (member, self.at(Field::Position)) else { continue };
-            let mut report = vec![f64::NAN; self.report.len()];
+            let mut report = vec![f64::NAN; self.pool.report_fields().len()];
             report[at] = of.position as f64 / 1e6;
             if let Some(at) = self.at(Field::Primary) {
                 report[at] = f64::from(u8::from(of.primary));
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -35,7 +35,6 @@
 use crate::config::Config;
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use async_signal::Signals;
 use counters::Shown;
 use discovery::{Follower, Source};
 use doubts::Doubts;
@@ -49,6 +48,7 @@
 use linnetdeal_core::{Checks, Router};
 use members::{Feed, Members};
 use seats::Seats;
+use signals::Signals;
 use std::cell::RefCell;
 use std::fmt::Display;
 use std::future::Future;
@@ -113,7 +113,7 @@
         tenants.set(&config.settings.tenants, present);
         tracing::debug!(target: "settings", "{:?}", config.settings);
         let backoff = Backoff::new(config.seed, config.settings.fleet, config.settings.drain_grace);
-        let (checks, report) = (config.settings.checks != Checks::None, config.settings.report.clone());
+        let checks = config.settings.checks != Checks::None;
         let router = Router::new(config.seed, config.settings);
         let (tells, told) = async_channel::bounded(peers::MOST_WAITING);
         let driver = Rc::new(Driver::new(router, counters.clone(), probes, tells));
@@ -167,8 +167,7 @@
             if let Some((term, every)) = wanted.positions.filter(|_| checks) {
                 let (driver, pool, members) = (driver.clone(), pool.clone(), known.clone());
                 let executor_of = executor.clone();
-                let of =
-                    leases::Positions { term, every, report, executor: executor_of, driver, pool, members };
+                let of = leases::Positions { term, every, executor: executor_of, driver, pool, members };
                 executor.spawn(leases.clone().ask_members(Rc::new(of))).detach();
             }
             let run = leases.clone();
--- a/crates/net/src/signals.rs
+++ b/crates/net/src/signals.rs
@@ -2,7 +2,7 @@
 
 use crate::classes::Classes;
 use crate::config::{Config, duration, span_of};
-use crate::counters::Shown;
+use crate::counters::{Counters, Shown};
 use crate::discovery::Source;
 use crate::driver::Driver;
 use crate::life::Life;
@@ -12,16 +12,20 @@
 use crate::tenants::Tenants;
 use crate::upstream::Pool;
 use async_executor::LocalExecutor;
-use async_io::Timer;
-use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
+use async_io::{Async, Timer};
 use linnetdeal_core::succession::Leaving;
-use std::io;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
+use std::io::{self, Read};
+use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 const LOOK: Duration = Duration::from_millis(10);
+/// Bytes that wake who waits for signals are read so many at a time.
+const WAKES: usize = 64;
 /// The least time in which last answers are written.
 const LAST_WORDS: Duration = Duration::from_millis(100);
 
@@ -51,32 +55,77 @@
     pub(crate) pool: Rc<Pool>,
 }
 
+/// What a signal asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Asked {
+    /// To read the configuration again.
+    Reload,
+    /// To print what is counted.
+    Show,
+    /// To end.
+    End,
+}
+
+/// Signals that are kept until they are handled. Each raises a flag; the bytes of the pipe only wake who looks at the flags, so
+/// that nothing rests on how many of them are read at once, or whether reading fails.
+#[derive(Debug)]
+pub struct Signals {
+    wakes: Async<UnixStream>,
+    raised: Vec<(Asked, Arc<AtomicBool>)>,
+}
+
 /// Keeps signals from here on, to be handled once the pooler is there: before that each of them would end the process.
 ///
 /// # Errors
 ///
 /// When signals can't be had.
 pub fn keep() -> io::Result<Signals> {
-    Signals::new([Signal::Term, Signal::Int, Signal::Hup, Signal::Usr1])
+    let (wakes, wake) = UnixStream::pair()?;
+    let mut raised = Vec::new();
+    for (signal, asked) in
+        [(SIGHUP, Asked::Reload), (SIGUSR1, Asked::Show), (SIGTERM, Asked::End), (SIGINT, Asked::End)]
+    {
+        let flag = Arc::new(AtomicBool::new(false));
+        // The flag first: whoever is woken finds it up.
+        signal_hook::flag::register(signal, flag.clone())?;
+        signal_hook::low_level::pipe::register(signal, wake.try_clone()?)?;
+        raised.push((asked, flag));
+    }
+    Ok(Signals { wakes: Async::new(wakes)?, raised })
+}
+
+impl Signals {
+    /// The next thing that was asked for. What was asked for twice before it was looked at is done once.
+    async fn next(&self, counters: &Counters) -> Asked {
+        loop {
+            let raised = self.raised.iter().find(|(_, flag)| flag.swap(false, Ordering::SeqCst));
+            if let Some((asked, _)) = raised {
+                return *asked;
+            }
+            match self.wakes.read_with(|mut wakes| wakes.read(&mut [0; WAKES])).await {
+                Ok(1..) => {}
+                Err(_) if mutants::is_active(Mutant::SignalErrorEnds) => return Asked::End,
+                // The flags are looked at all the same, a little later.
+                Ok(0) | Err(_) => {
+                    counters.signal_errors.add();
+                    Timer::after(LOOK).await;
+                }
+            }
+        }
+    }
 }
 
 /// Handles signals until the pooler has drained.
-pub(crate) fn listen(handler: &Rc<Handler>, mut signals: Signals) {
+pub(crate) fn listen(handler: &Rc<Handler>, signals: Signals) {
     let listener = handler.clone();
     let task = async move {
         let mut draining = false;
-        while let Some(signal) = signals.next().await {
-            match signal {
-                Ok(Signal::Usr1) => listener.shown.log(),
-                Ok(Signal::Hup) => reload(&listener),
-                // Nothing was asked for: the wait for signals failed, as calls of the system may.
-                Err(error) if !mutants::is_active(Mutant::SignalErrorEnds) => {
-                    listener.shown.counters.signal_errors.add();
-                    tracing::warn!("signals: {error}");
-                    Timer::after(LOOK).await;
-                }
-                _ if std::mem::replace(&mut draining, true) => {}
-                _ => {
+        loop {
+            match signals.next(&listener.shown.counters).await {
+                Asked::Show => listener.shown.log(),
+                Asked::Reload => reload(&listener),
+                Asked::End if std::mem::replace(&mut draining, true) => {}
+                Asked::End => {
                     let handler = listener.clone();
                     listener.executor.spawn(async move { drain(&handler).await }).detach();
                 }
@@ -93,6 +142,7 @@
         Ok(config) => {
             let (settings, host) = (config.settings, config.host);
             let longest = host.longest_deadline;
+            let (fleet, drain_grace) = (settings.fleet, settings.drain_grace);
             if !handler.driver.retune(settings, &handler.classes, &handler.tenants, longest) {
                 tracing::warn!(
                     "configuration kept as it was: more classes or tenants than can be held beside the earlier ones"
@@ -101,6 +151,7 @@
             }
             // In the same step: what reports hold is read by the names that the module counts by.
             handler.pool.set_host(host);
+            handler.source.retune(fleet, drain_grace);
             handler.shown.counters.reloads.add();
             tracing::info!("configuration read again, discovery at {:?}", config.discovery);
             handler.source.follow(config.discovery);
--- a/crates/net/src/upstream.rs
+++ b/crates/net/src/upstream.rs
@@ -322,6 +322,11 @@
         self.host.replace(host);
     }
 
+    /// What load reports hold, by the present settings.
+    pub(crate) fn report_fields(&self) -> Vec<Field> {
+        self.host.borrow().report.iter().map(|(_, field)| *field).collect()
+    }
+
     fn longest_idle(&self) -> Duration {
         self.host.borrow().keepalive.mul_f64(IDLE_PART)
     }
@@ -514,9 +519,13 @@
             return Err(Lost::Withdrawn);
         }
         let (mut connection, reuse) = self.connection(member, query.runs_once(), stage).await?;
-        // What came while the process stood still is taken first: it may say that the member is withdrawn.
+        // What came while the process stood still is taken first: it may say that the member is withdrawn. The connection may
+        // have ended meanwhile.
         if self.standstill.just_ended() {
             yield_now().await;
+            if connection.look(self.members.address(member), self.longest_idle()) != Look::Good {
+                return Err(Lost::Broken);
+            }
         }
         stage.set(Stage::Writing);
         // Behind it goes an empty query whose answer nobody waits for: it shows, before the next request is sent,
