--- /dev/null
+++ b/crates/core/tests/guard.rs
@@ -0,0 +1,137 @@
+//! The guard before each irreversible step, and the run-time check of the same promises.
+
+use linnetdeal_core::guard::*;
+use linnetdeal_core::invariants::*;
+use linnetdeal_core::*;
+use std::sync::Arc;
+
+/// Facts with nothing against a send.
+fn fine() -> SendFacts {
+    SendFacts {
+        member_in_service: true,
+        client_connected: true,
+        process_serving: true,
+        data_fresh: true,
+        time_left: Span::millis(10),
+        others_out: 0,
+        copies_allowed: false,
+        may_have_run: false,
+        effect: Effect::Unsafe,
+    }
+}
+
+#[test]
+fn a_send_is_denied_for_each_reason_alone() {
+    assert_eq!(fine().check(), Ok(()));
+    let cases = [
+        (SendFacts { client_connected: false, ..fine() }, SendDenied::ClientLeft),
+        (SendFacts { process_serving: false, ..fine() }, SendDenied::ProcessEnds),
+        (SendFacts { member_in_service: false, ..fine() }, SendDenied::MemberWithdrawn),
+        (SendFacts { time_left: Span(0), ..fine() }, SendDenied::TimeOver),
+        (SendFacts { others_out: 1, ..fine() }, SendDenied::AnotherOut),
+        (SendFacts { may_have_run: true, ..fine() }, SendDenied::MayHaveRun),
+        (SendFacts { may_have_run: true, effect: Effect::Keyed, ..fine() }, SendDenied::MayHaveRun),
+        (SendFacts { data_fresh: false, ..fine() }, SendDenied::DataTooOld),
+    ];
+    for (facts, why) in cases {
+        assert_eq!(facts.check(), Err(why), "{facts:?}");
+    }
+    let copies = SendFacts { others_out: 1, copies_allowed: true, effect: Effect::Safe, ..fine() };
+    assert_eq!(copies.check(), Ok(()), "a second copy where that is allowed");
+    let repeat = SendFacts { may_have_run: true, effect: Effect::Safe, ..fine() };
+    assert_eq!(repeat.check(), Ok(()), "a repeat of what may run any number of times");
+}
+
+#[test]
+fn a_connection_is_closed_over_nothing_that_was_read() {
+    assert!(CloseFacts::default().may_close());
+    assert!(!CloseFacts { requests_unanswered: 1, client_left: false }.may_close());
+    assert!(CloseFacts { requests_unanswered: 1, client_left: true }.may_close());
+    let start = StartFacts { list_held: true, signals_handled: true, discovery_waited_for: true };
+    assert!(start.may_serve());
+    assert!(!StartFacts { list_held: false, ..start }.may_serve());
+    assert!(!StartFacts { signals_handled: false, ..start }.may_serve());
+    assert!(!StartFacts { discovery_waited_for: false, ..start }.may_serve());
+}
+
+const GRACE: Span = Span::millis(250);
+const ID: RequestId = RequestId(1);
+
+fn at(ms: i64) -> Time {
+    Time(1_000_000_000) + Span::millis(ms)
+}
+
+fn member() -> MemberId {
+    MemberId(Arc::from("s-1"))
+}
+
+/// A check with one request open whose client waits a second.
+fn open(effect: Effect) -> Invariants {
+    let mut check = Invariants::new(GRACE);
+    check.taken(ID, Promise { deadline: at(1_000), effect, copies_allowed: false });
+    check
+}
+
+fn begin(check: &mut Invariants, ms: i64, attempt: u32, told_ms: i64) -> Vec<Violation> {
+    let breaches = check.began(at(ms), ID, AttemptNo(attempt), &member(), Span::millis(told_ms));
+    breaches.into_iter().map(|breach| breach.violation).collect()
+}
+
+#[test]
+fn what_breaks_a_promise_of_a_send_is_counted() {
+    let mut check = open(Effect::Unsafe);
+    check.member(at(0), &member(), false);
+    assert_eq!(begin(&mut check, 200, 0, 800), [], "within the grace");
+    assert_eq!(begin(&mut check, 300, 1, 700), [Violation::SentToWithdrawn, Violation::SecondOut]);
+    check.ended(ID, AttemptNo(0), Verdict::Moot);
+    check.ended(ID, AttemptNo(1), Verdict::Reset);
+    check.member(at(310), &member(), true);
+    assert_eq!(begin(&mut check, 320, 2, 600), [Violation::UnsafeRepeat]);
+    check.ended(ID, AttemptNo(2), Verdict::Full);
+    check.departed(at(400), ID);
+    assert_eq!(begin(&mut check, 450, 3, 701), [Violation::DeadlineOverstated, Violation::UnsafeRepeat]);
+    check.ended(ID, AttemptNo(3), Verdict::Full);
+    let late = begin(&mut check, 1_001, 4, 1);
+    assert_eq!(late, [Violation::SentAfterDeparture, Violation::SentPastDeadline, Violation::UnsafeRepeat]);
+    assert_eq!(check.total(), 8);
+    let shown = check.to_string();
+    assert!(shown.contains("checked=5 violations=8") && shown.contains("UnsafeRepeat=3"), "{shown}");
+}
+
+#[test]
+fn what_may_be_repeated_may_be_sent_again_and_refused() {
+    let mut check = open(Effect::Safe);
+    assert_eq!(begin(&mut check, 0, 0, 1_000), []);
+    check.ended(ID, AttemptNo(0), Verdict::Reset);
+    assert_eq!(begin(&mut check, 10, 1, 990), []);
+    check.ended(ID, AttemptNo(1), Verdict::Timeout);
+    assert!(check.answered(at(1_000), ID, Answer::Refused).is_empty());
+    assert!(check.closed(at(1_000), ID).is_empty());
+    assert_eq!((check.total(), check.open()), (0, 0));
+}
+
+#[test]
+fn what_breaks_a_promise_of_an_answer_is_counted() {
+    let violations = |breaches: Vec<Breach>| -> Vec<Violation> {
+        breaches.into_iter().map(|breach| breach.violation).collect()
+    };
+    let mut check = open(Effect::Unsafe);
+    assert_eq!(begin(&mut check, 0, 0, 1_000), []);
+    check.ended(ID, AttemptNo(0), Verdict::Timeout);
+    assert_eq!(violations(check.answered(at(500), ID, Answer::Refused)), [Violation::UnsafeRefusal]);
+    let again = violations(check.answered(at(1_071), ID, Answer::Failed));
+    assert_eq!(again, [Violation::SecondAnswer, Violation::LateAnswer]);
+    assert!(check.closed(at(1_100), ID).is_empty());
+    assert_eq!(begin(&mut check, 1_100, 1, 0), [Violation::SentAfterAnswer]);
+
+    let mut check = open(Effect::Safe);
+    assert_eq!(violations(check.closed(at(10), ID)), [Violation::ClosedUnanswered]);
+    let mut check = open(Effect::Safe);
+    check.departed(at(5), ID);
+    assert!(check.closed(at(10), ID).is_empty(), "nobody is there to be told");
+    let mut check = open(Effect::Safe);
+    assert_eq!(violations(check.process_ended(at(10))), [Violation::ClosedUnanswered]);
+    assert_eq!(violations(check.connection_closed(at(20), 2)), [Violation::ClosedUnanswered; 2]);
+    assert_eq!(violations(check.started(at(30), false)), [Violation::StartedEarly]);
+    assert!(check.started(at(30), true).is_empty());
+}
--- a/crates/core/tests/mechanism.rs
+++ b/crates/core/tests/mechanism.rs
@@ -203,3 +203,21 @@
     }
     assert!(to_primary * 6 > answered && to_primary * 2 < answered, "{to_primary} of {answered}");
 }
+
+#[test]
+fn a_bound_moves_on_while_an_attempt_waits_for_a_connection() {
+    let mut host = Host::new(Settings { checks: Checks::None, ..settings() }, 3);
+    host.probed(1, true, 0);
+    host.probed(2, false, 900);
+    host.probed(3, false, 60_000);
+    let (id, actions) = host.ask(READ);
+    assert_eq!(sends(&actions), [member(2)], "within the bound of a second");
+    assert!(host.router.is_fresh(host.now, id, &member(2)));
+    let later = host.now + Span::millis(150);
+    assert!(!host.router.is_fresh(later, id, &member(2)), "it has fallen out of it meanwhile");
+    assert!(host.router.is_fresh(later, id, &member(1)), "the primary stands at the present");
+    host.probed(2, false, 100);
+    assert!(host.router.is_fresh(later, id, &member(2)), "it was heard of since");
+    let checked = Host::new(settings(), 3);
+    assert!(checked.router.is_fresh(later, id, &member(2)), "where members check, they say so themselves");
+}
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -2,6 +2,7 @@
 
 use super::buffer::{ReadBuffer, write_all};
 use super::pg::{self, Code, PgError};
+use super::system_errors::is_shortage;
 use async_io::Async;
 use event_listener::Event;
 use std::cell::Cell;
@@ -64,6 +65,8 @@
 pub(crate) enum Lost {
     /// No descriptor or port was to be had here.
     Short,
+    /// A call of this machine's system failed for a moment.
+    Momentary,
     /// Nobody listens.
     Down,
     /// Nobody answers.
@@ -79,7 +82,7 @@
 impl From<io::Error> for Lost {
     /// What this machine ran out of says nothing of the member.
     fn from(error: io::Error) -> Self {
-        if shortage(&error) { Self::Short } else { Self::Broken }
+        if is_shortage(&error) { Self::Short } else { Self::Broken }
     }
 }
 
@@ -89,14 +92,6 @@
     }
 }
 
-/// Whether an error tells that this machine is out of descriptors, memory or ports.
-#[must_use]
-pub fn shortage(error: &io::Error) -> bool {
-    use rustix::io::Errno;
-    let own = [Errno::MFILE, Errno::NFILE, Errno::NOMEM, Errno::NOBUFS, Errno::ADDRNOTAVAIL];
-    Errno::from_io_error(error).is_some_and(|errno| own.contains(&errno))
-}
-
 /// A connection that stands at ReadyForQuery, but for the answers of empty queries.
 #[derive(Debug)]
 pub(crate) struct Connection {
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -6,6 +6,7 @@
 use super::pg::{self, Asks, PgError, Startup};
 use super::request::{Asked, Cut, Final, Patron, serve};
 use super::seats::{Rank, Seat, Seats};
+use super::system_errors::is_shortage;
 use super::upstream::{Pool, Reply, Statement};
 use crate::classes::Classes;
 use crate::counters::{CloseReason, Counters};
@@ -20,7 +21,7 @@
 use linnetdeal_core::guard::CloseFacts;
 use linnetdeal_core::invariants::Answer;
 use linnetdeal_core::*;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
@@ -140,7 +141,7 @@
                 yield_now().await;
             }
             // Out of descriptors: neither spin nor end. An idle connection is let go to make room.
-            Some(Err(error)) if super::connection::shortage(&error) => {
+            Some(Err(error)) if is_shortage(&error) => {
                 door.counters.short.add();
                 if !door.pool.close_one_idle() {
                     door.seats.ask_one_to_go(Rank::Parting..=Rank::Idle);
@@ -174,7 +175,7 @@
             stage: Stage::Startup,
             since: Instant::now(),
             errors: 0,
-            closes: CloseReason::ClientLeft,
+            closes: Cell::new(CloseReason::ClientLeft),
         };
         // What went wrong on one client's connection concerns nobody else: it is closed.
         let ended = client.run(room).await;
@@ -225,7 +226,7 @@
     /// Its commands that were no use.
     errors: u32,
     /// Why its connection ends, as far as is known by now.
-    closes: CloseReason,
+    closes: Cell<CloseReason>,
 }
 
 /// What a command comes down to.
@@ -249,7 +250,7 @@
         match ended {
             Err(ClientError::Pg(error)) => {
                 self.door.counters.rejected.add();
-                self.closes = CloseReason::Protocol;
+                self.closes.set(CloseReason::Protocol);
                 // What makes no sense can't be told from requests any more.
                 self.buffer = ReadBuffer::default();
                 self.part("08P01", &error.to_string(), None).await
@@ -299,7 +300,7 @@
         }
         if !room {
             self.door.counters.crowded_out.add();
-            self.closes = CloseReason::NoRoom;
+            self.closes.set(CloseReason::NoRoom);
             self.part("53300", "too many clients", Some("250")).await?;
             return Ok(false);
         }
@@ -346,7 +347,7 @@
                     // A request that was read behind it is owed its answer first.
                     let may_close = self.close_facts().may_close();
                     if self.errors >= MOST_ERRORS && may_close {
-                        self.closes = CloseReason::Errors;
+                        self.closes.set(CloseReason::Errors);
                         return self.part(code, &words, None).await;
                     }
                     write::error(&mut out, Severity::Error, code, &words, None);
@@ -361,7 +362,7 @@
                     if !may_close {
                         rest.await;
                     } else if self.seat.yielding(Rank::Silent, self.since, rest).await.is_none() {
-                        self.closes = CloseReason::MadeRoom;
+                        self.closes.set(CloseReason::MadeRoom);
                         return Ok(());
                     }
                 }
@@ -431,7 +432,7 @@
         match done.unwrap_or(Ok(Read::End(CloseReason::MadeRoom)))? {
             Read::More => Ok(true),
             Read::End(why) => {
-                self.closes = why;
+                self.closes.set(why);
                 Ok(false)
             }
         }
@@ -452,7 +453,7 @@
     /// The connection is about to close: why is counted and logged, and whether all that was read has been answered.
     fn note_close(&self, ended: Result<(), ClientError>) {
         let closes = match &ended {
-            Ok(()) => self.closes,
+            Ok(()) => self.closes.get(),
             Err(ClientError::Io(_)) => CloseReason::Broken,
             Err(ClientError::Pg(_)) => CloseReason::Protocol,
             Err(ClientError::Slow) => CloseReason::Slow,
@@ -621,6 +622,7 @@
     /// Sends the last answer on a connection, with the end of the connection in the same segment: the client can't have
     /// begun anything that this end would cross. What it sends all the same is read, since a reset would take the answer.
     async fn last(&self, pieces: &[&[u8]]) -> Result<(), ClientError> {
+        self.closes.set(CloseReason::HandedOver);
         let stream = self.stream.get_ref();
         // Without it the end may come in a segment of its own; the answer goes out all the same.
         if let Err(error) = rustix::net::sockopt::set_tcp_cork(stream, true) {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod signals;
 pub mod standstill;
 pub mod succession;
+pub mod system_errors;
 pub mod tenants;
 pub mod upstream;
 pub mod work;
--- a/crates/net/src/upstream.rs
+++ b/crates/net/src/upstream.rs
@@ -2,11 +2,12 @@
 
 use super::alarms::Alarms;
 use super::buffer::{ReadBuffer, write_all, write_now, write_rest};
-use super::connection::{Budget, Connection, Look, Lost, MARK, Permit, Presence, shortage};
+use super::connection::{Budget, Connection, Look, Lost, MARK, Permit, Presence};
 use super::counters::Counters;
 use super::members::Members;
 use super::pg::{self, Code, Notes, Part};
 use super::request::{Carrier, Ended, Gate};
+use super::system_errors::{is_momentary, is_shortage};
 use crate::config::{HostSettings, span_of};
 use crate::mutants::{self, Mutant};
 use crate::standstill::Standstill;
@@ -35,6 +36,8 @@
 const PROBE_WAIT: Duration = Duration::from_millis(250);
 /// How long what waits for room looks away, should nobody tell it.
 const SHORT_PAUSE: Duration = Duration::from_millis(20);
+/// A dial that this machine's system fails for a moment is tried again so often.
+const MOST_MOMENTARY: u32 = 5;
 
 /// So many bytes of a large answer are read at a time, and no more are held for each.
 const PIECE: usize = 32 * 1024;
@@ -427,6 +430,7 @@
         once: bool,
         stage: &Cell<Stage>,
     ) -> Result<(Connection, Option<Reuse>), Lost> {
+        let mut failures = 0;
         loop {
             for _ in 0..MOST_ASKED {
                 let Some(mut connection) = self.free(member) else { break };
@@ -467,6 +471,14 @@
                     self.close_one_idle();
                     Timer::after(SHORT_PAUSE).await;
                 }
+                Err(Lost::Momentary) if failures < MOST_MOMENTARY => {
+                    failures += 1;
+                    stage.set(Stage::Waiting);
+                    self.counters.short.add();
+                    Timer::after(SHORT_PAUSE).await;
+                }
+                // It lasts: as far as this machine can tell, nobody is there.
+                Err(Lost::Momentary) => return Err(Lost::Silent),
                 other => return other.map(|connection| (connection, None)),
             }
         }
@@ -478,7 +490,8 @@
         let stream = Async::<TcpStream>::connect(address).await.map_err(|error| match error.kind() {
             io::ErrorKind::ConnectionReset => Lost::Broken,
             io::ErrorKind::ConnectionRefused => Lost::Down,
-            _ if shortage(&error) => Lost::Short,
+            _ if is_shortage(&error) => Lost::Short,
+            _ if is_momentary(&error) => Lost::Momentary,
             _ => Lost::Silent,
         })?;
         stream.get_ref().set_nodelay(true)?;
