--- a/crates/daemon/tests/invariants.rs
+++ b/crates/daemon/tests/invariants.rs
@@ -12,6 +12,9 @@
 /// What a client still has may be overstated to a server by so much.
 const DEADLINE_SLACK: Duration = Duration::from_millis(150);
 
+/// A process that stands still does so for longer than this in these tests.
+const STANDSTILL: Duration = Duration::from_millis(100);
+
 /// The wait, in milliseconds, that a statement tells.
 fn told_wait(statement: &str) -> u64 {
     statement.split_once(",d=").unwrap().1.split_once(',').unwrap().0.parse().unwrap()
@@ -70,6 +73,7 @@
     let size = word.to_string().len() as u64;
     watch.send(Some(word)).unwrap();
     wait_for_unread(discovery.address.port(), size);
+    std::thread::sleep(STANDSTILL);
     pooler.thaw();
     assert_eq!(client.answer().value.as_deref(), Some(&b"s-2"[..]));
     assert_eq!(leaves.got().len(), 1, "the drain was there when the process went on");
@@ -268,3 +272,40 @@
     }
     assert!(began.elapsed() < Duration::from_secs(5), "four watches took {:?}", began.elapsed());
 }
+
+#[test]
+fn a_drain_that_came_while_the_process_stood_still_goes_before_a_connection_that_came_up_first() {
+    let ((tell, dialled), (go, told)) = (channel(), channel::<()>());
+    let ends = Mutex::new((tell, told));
+    let leaves = Server::with_door(
+        "s-1",
+        move || {
+            let (tell, told) = &*ends.lock().unwrap();
+            tell.send(()).unwrap();
+            let _ = told.recv();
+        },
+        |wire, _| {
+            wire.row(b"s-1", "replica", peers::NOW_MS);
+            true
+        },
+    );
+    let stays = plain("s-2", "replica");
+    let discovery = Discovery::new();
+    let pooler = Pooler::new(&discovery, vec![leaves.entry("up", "replica")]);
+    let (_, watch) = discovery.watch();
+    let mut client = Client::connect(&pooler);
+    client.send(&peers::menu("1"));
+    dialled.recv_timeout(PATIENCE).unwrap();
+    pooler.freeze();
+    // The connection comes up first, and the word behind it; and that takes a while.
+    go.send(()).unwrap();
+    wait_for_unread(leaves.address.port(), 1);
+    let word = peers::list(42, false, vec![leaves.entry("draining", ""), stays.entry("up", "")]);
+    let size = word.to_string().len() as u64;
+    watch.send(Some(word)).unwrap();
+    wait_for_unread(discovery.address.port(), size);
+    std::thread::sleep(STANDSTILL);
+    pooler.thaw();
+    assert_eq!(client.answer().value.as_deref(), Some(&b"s-2"[..]));
+    assert!(leaves.got().is_empty(), "the drain was there when the process went on");
+}
