--- a/crates/net/src/standstill.rs
+++ b/crates/net/src/standstill.rs
@@ -32,9 +32,10 @@
         }
     }
 
-    /// Whether nothing had happened for long until just now.
+    /// Whether nothing had happened for long until just now; who asks may be the first to whom something happens.
     #[must_use]
     pub fn just_ended(&self) -> bool {
+        self.moved();
         self.ended.get().elapsed() < TURN
     }
 }
