Soak: a broken variant counts as found only where the program itself breaks no rule in the same play

Need: with all poolers pausing, answers late by under 0.1 s were counted in the variant and in the program alike. Change: the play of a variant that broke a rule is followed by one of the program with the same seed and troubles.

--- a/crates/lab/src/soak/proof.rs
+++ b/crates/lab/src/soak/proof.rs
@@ -74,15 +74,21 @@
     Ok(violated == 0 && missed.is_empty() && (wanted.seeds.is_empty() || injected > 0))
 }
 
-/// Plays a broken variant until it breaks a rule; gives which.
+/// Plays a broken variant until it breaks a rule, and then the program itself in the same way: only what it does not break counts
+/// as found. Gives which rules were broken.
 fn find(wanted: &Wanted, variant: &Variant, say: &impl Fn(&dyn Display)) -> std::io::Result<Option<String>> {
     let first = wanted.seeds.first().copied().unwrap_or(1);
     for seed in first..first + wanted.mutant_seeds {
-        let (mutant, only) = (Some(variant.name.to_owned()), variant.troubles.to_vec());
-        let failing_calls = variant.failing_calls;
-        let report = play(&Spec { seed, mutant, only, failing_calls, ..wanted.spec.clone() })?;
+        let (only, failing_calls) = (variant.troubles.to_vec(), variant.failing_calls);
+        let control = Spec { seed, only, failing_calls, ..wanted.spec.clone() };
+        let report = play(&Spec { mutant: Some(variant.name.to_owned()), ..control.clone() })?;
         show(&report, say);
-        if report.violated() > 0 {
+        if report.violated() == 0 {
+            continue;
+        }
+        let beside = play(&control)?;
+        show(&beside, say);
+        if beside.violated() == 0 {
             let rules: Vec<String> =
                 report.violations.iter().map(|(rule, count)| format!("{rule:?} {count}")).collect();
             return Ok(Some(rules.join(", ")));
