--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,7 @@
 	LINNETDEAL=target/release/linnetdeal target/release/linnetdeal-lab work --side-by-side 10
 
 # The soak: 24 processes on loopback in overlapping troubles, judged from outside, one seed after another; then broken variants, which a
-# debug build has, until each is found. Exits with 1 if a rule is broken or a variant is missed. SOAK_SEED, SOAK_SEEDS, SOAK_S.
+# debug build has, until each is found. Exits with 1 if a rule is broken or a variant is missed that has to be found. SOAK_SEED, SOAK_SEEDS, SOAK_S.
 SOAK_SEED ?= 1
 SOAK_SEEDS ?= 8
 SOAK_S ?= 12
--- a/crates/daemon/tests/invariants.rs
+++ b/crates/daemon/tests/invariants.rs
@@ -5,8 +5,9 @@
 
 use linnetdeal_net::pg::write;
 use peers::{Client, Discovery, PATIENCE, Pooler, Server, Wire, plain};
+use serde_json::Value;
 use std::sync::Mutex;
-use std::sync::mpsc::channel;
+use std::sync::mpsc::{Sender, channel};
 use std::time::{Duration, Instant};
 
 /// What a client still has may be overstated to a server by so much.
@@ -58,6 +59,20 @@
     });
 }
 
+/// Has a frozen process stand still until discovery's word is there unread, and a while longer; then it goes on.
+fn stand_still_until_told(
+    pooler: &Pooler,
+    discovery: &Discovery,
+    watch: &Sender<Option<Value>>,
+    word: Value,
+) {
+    let size = word.to_string().len() as u64;
+    watch.send(Some(word)).unwrap();
+    wait_for_unread(discovery.address.port(), size);
+    std::thread::sleep(STANDSTILL);
+    pooler.thaw();
+}
+
 #[test]
 fn a_drain_that_came_while_the_process_stood_still_goes_before_the_request_that_came_first() {
     let (leaves, stays) = (plain("s-1", "replica"), plain("s-2", "replica"));
@@ -70,11 +85,7 @@
     client.send(&peers::menu("2"));
     client.0.arrived();
     let word = peers::list(42, false, vec![leaves.entry("draining", ""), stays.entry("up", "")]);
-    let size = word.to_string().len() as u64;
-    watch.send(Some(word)).unwrap();
-    wait_for_unread(discovery.address.port(), size);
-    std::thread::sleep(STANDSTILL);
-    pooler.thaw();
+    stand_still_until_told(&pooler, &discovery, &watch, word);
     assert_eq!(client.answer().value.as_deref(), Some(&b"s-2"[..]));
     assert_eq!(leaves.got().len(), 1, "the drain was there when the process went on");
 }
@@ -301,11 +312,7 @@
     go.send(()).unwrap();
     wait_for_unread(leaves.address.port(), 1);
     let word = peers::list(42, false, vec![leaves.entry("draining", ""), stays.entry("up", "")]);
-    let size = word.to_string().len() as u64;
-    watch.send(Some(word)).unwrap();
-    wait_for_unread(discovery.address.port(), size);
-    std::thread::sleep(STANDSTILL);
-    pooler.thaw();
+    stand_still_until_told(&pooler, &discovery, &watch, word);
     assert_eq!(client.answer().value.as_deref(), Some(&b"s-2"[..]));
     assert!(leaves.got().is_empty(), "the drain was there when the process went on");
 }
