--- a/review/common.rs
+++ b/review/common.rs
@@ -67,7 +67,7 @@
 // ---- The platform
 
 pub fn signal(pid: u32, name: &str) {
-    let _ = Command::new("kill").arg(format!("-{name}")).arg(pid.to_string()).stderr(Stdio::null()).status();
+    let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {pid}")).stderr(Stdio::null()).status();
 }
 
 /// A folder that is removed by `run.sh`.
