Log what a read requires, evicted sessions and answers that an ending process writes

Change: the line "sent" (level debug) holds the position that the request requires and the known one of the member (Router::freshness); a line "sessions" on SIGUSR1 and at the exit counts the commits that are remembered and were evicted; the lifecycle counts the final answers that are being written, and the last stages of a shutdown log the time since the signal, the clients and these answers. Nothing else changes.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -782,6 +782,21 @@
         })
     }
 
+    /// What [`Router::is_fresh`] compares for an open request that is sent now; `None` if the request has ended or
+    /// the member is not known.
+    #[must_use]
+    pub fn freshness(&self, now: Time, request: RequestId, member: &MemberId) -> Option<Freshness> {
+        let (open, m) = self.open.get(&request).zip(self.members.get(member))?;
+        let required = self.required_position(now, open);
+        Some(Freshness { required, position: (m.position > NEVER).then_some(m.position) })
+    }
+
+    /// The commits of sessions that are remembered.
+    #[must_use]
+    pub fn sessions(&self) -> &Sessions {
+        &self.sessions
+    }
+
     /// Counts of the reasons for which requests were given up.
     #[must_use]
     pub fn given_up(&self) -> &Reasons {
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -380,6 +380,15 @@
     pub position: Option<Time>,
 }
 
+/// The two log positions that decide whether a member's data is recent enough for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Freshness {
+    /// The position that the request requires; `None` if any will do.
+    pub required: Option<Time>,
+    /// The position that the member is known to have applied; `None` if it is not known.
+    pub position: Option<Time>,
+}
+
 /// How an attempt or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
--- a/crates/core/src/sessions.rs
+++ b/crates/core/src/sessions.rs
@@ -7,6 +7,7 @@
 
 use crate::interface::{SessionKey, Time};
 use std::collections::HashMap;
+use std::fmt;
 
 /// The number of sessions above which [`Sessions::evict`] removes some.
 pub const MAX_SESSIONS: usize = 8_192;
@@ -17,6 +18,8 @@
     commits: HashMap<SessionKey, Time>,
     /// The latest commit among those that were evicted.
     evicted: Option<Time>,
+    /// How many commits were evicted.
+    evictions: u64,
 }
 
 impl Sessions {
@@ -38,12 +41,14 @@
         if self.commits.len() <= MAX_SESSIONS {
             return;
         }
+        let count_before = self.commits.len();
         if let Some(applied_everywhere) = applied_everywhere() {
             self.commits.retain(|_, commit| *commit > applied_everywhere);
         }
         if self.commits.len() > MAX_SESSIONS {
             self.evict_older_half();
         }
+        self.evictions += (count_before - self.commits.len()) as u64;
     }
 
     fn evict_older_half(&mut self) {
@@ -66,3 +71,11 @@
         self.commits.is_empty()
     }
 }
+
+/// One line for the status log.
+impl fmt::Display for Sessions {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let floor_us = self.evicted.map_or(0, |position| position.0);
+        write!(f, "sessions remembered={} evicted={} floor_us={floor_us}", self.len(), self.evictions)
+    }
+}
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -180,6 +180,12 @@
         self.router.borrow().is_fresh(self.clock.now(), request, member)
     }
 
+    /// What [`Driver::is_fresh`] compares; `None` if the request has ended or the member is not known.
+    #[must_use]
+    pub fn freshness(&self, request: RequestId, member: &MemberId) -> Option<Freshness> {
+        self.router.borrow().freshness(self.clock.now(), request, member)
+    }
+
     /// Records something in the run-time check of the invariants and logs the violations that it finds.
     pub fn check(&self, record: impl FnOnce(Time, &mut Invariants) -> Vec<ViolationRecord>) {
         let violations = record(self.clock.now(), &mut self.invariants.borrow_mut());
@@ -323,6 +329,15 @@
     }
 }
 
+/// Prints how many commits of sessions are remembered and were evicted.
+pub struct SessionsReport(pub Rc<Driver>);
+
+impl fmt::Display for SessionsReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.router.borrow().sessions().fmt(f)
+    }
+}
+
 /// Prints the state of each group's primary with its latest changes.
 impl fmt::Display for Driver {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -577,7 +577,9 @@
         if how.is_some() && self.drops_answer() {
             return Ok(false);
         }
+        let in_progress = self.context.lifecycle.begin_answer();
         let written = self.answer(answer, out).await;
+        drop(in_progress);
         match (&written, how) {
             (Ok(_), Some(how)) => pending_answer.answered(how),
             // The answer can't be delivered any more.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -40,7 +40,7 @@
 use connection_slots::ConnectionSlots;
 use counters::StatusLog;
 use discovery::{Follower, Source};
-use driver::{Driver, InvariantsReport};
+use driver::{Driver, InvariantsReport, SessionsReport};
 use flag::Flag;
 use futures_lite::future::or;
 use hot_restart::SharedState;
@@ -159,6 +159,7 @@
         });
         status_log.add(in_doubt.clone());
         status_log.add(Rc::new(InvariantsReport(driver.clone())));
+        status_log.add(Rc::new(SessionsReport(driver.clone())));
         status_log.add(driver.clone());
         if leases.is_some() && config.peers.is_none() {
             tracing::warn!(
--- a/crates/net/src/lifecycle.rs
+++ b/crates/net/src/lifecycle.rs
@@ -24,4 +24,33 @@
     pub drained_by_operator: Cell<bool>,
     /// On while the pooler is drained by an operator or a maintenance plan; unlike the stages it ends on resume.
     pub drained: Switch,
+    /// The number of final answers that are being written to clients.
+    answers_in_progress: Cell<usize>,
+}
+
+impl Lifecycle {
+    /// Counts a final answer as being written to its client until the result is dropped.
+    pub fn begin_answer(&self) -> AnswerInProgress<'_> {
+        self.answers_in_progress.set(self.answers_in_progress.get() + 1);
+        AnswerInProgress { lifecycle: self }
+    }
+
+    /// The number of final answers that are being written to clients.
+    #[must_use]
+    pub fn answers_in_progress(&self) -> usize {
+        self.answers_in_progress.get()
+    }
+}
+
+/// A final answer that is being written to its client.
+#[derive(Debug)]
+pub struct AnswerInProgress<'a> {
+    lifecycle: &'a Lifecycle,
+}
+
+impl Drop for AnswerInProgress<'_> {
+    fn drop(&mut self) {
+        let count = &self.lifecycle.answers_in_progress;
+        count.set(count.get() - 1);
+    }
 }
--- a/crates/net/src/request.rs
+++ b/crates/net/src/request.rs
@@ -345,7 +345,8 @@
         self.driver.check(|now, invariants| {
             invariants.attempt_started(now, request, attempt, &self.member, span_of(timeout))
         });
-        tracing::debug!(target: "requests", request = request.0, attempt = attempt.0, member = &*self.member.0, told_ms = timeout.as_millis() as u64, "sent");
+        tracing::debug!(target: "requests", request = request.0, attempt = attempt.0, member = &*self.member.0,
+            told_ms = timeout.as_millis() as u64, freshness = ?self.driver.freshness(request, &self.member), "sent");
     }
 }
 
--- a/crates/net/src/signals.rs
+++ b/crates/net/src/signals.rs
@@ -229,11 +229,19 @@
         }
     }
     let mut latest = duration(schedule.answer_open);
-    for stage in [&lifecycle.terminating, &lifecycle.terminated] {
+    for (stage, what) in
+        [(&lifecycle.terminating, "open requests are answered"), (&lifecycle.terminated, "the process exits")]
+    {
         while handler.slots.in_use() > 0 && started.elapsed() < latest {
             Timer::after(POLL_INTERVAL).await;
         }
         stage.raise();
+        tracing::info!(
+            "{what} {} ms after the signal, with {} clients connected and {} answers in progress",
+            started.elapsed().as_millis(),
+            handler.slots.in_use(),
+            lifecycle.answers_in_progress(),
+        );
         // Open requests are answered now. If the process was stopped past the deadline, the answers still get a
         // minimum of time.
         latest = duration(schedule.exit).max(started.elapsed() + MIN_FINAL_ANSWER_TIME);
