Sessions whose commits were evicted require a floor, also of a replica that returns

It concerns deployments whose servers check nothing (WhenBehind "none"), where the rule is the pooler's to keep.

Cause: Sessions::evict dropped every commit that all members in service had applied, and put nothing in its place; Router::tick leaves out members that are gone or draining. The reads of these sessions required no position at all, and is_fresh_enough lets any member serve such a read, one that is listed again behind as well.

Where members check their reads, an answer to a session without a remembered commit no longer counts as proof that its member has applied the floor (LastCommit::proven_position).

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -17,7 +17,7 @@
 use crate::interface::*;
 use crate::latency::LatencyEstimate;
 use crate::peers::{Gossip, Observation};
-use crate::sessions::Sessions;
+use crate::sessions::{LastCommit, Sessions};
 use crate::state::*;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
@@ -303,7 +303,7 @@
         };
         let token = match self.settings.tokens {
             // The commit position was rounded up and the age may have been rounded; one millisecond covers both.
-            Tokens::Carried => request.last_write.map(|ago| now - ago + Span::millis(1)),
+            Tokens::Carried => request.last_write.map(|ago| LastCommit::At(now - ago + Span::millis(1))),
             Tokens::Remembered => request.session.and_then(|key| self.sessions.last_commit(key)),
         };
         let stretch = request.cost.map_or(Span(0), |cost| cost.times(class.aim_stretch));
@@ -482,8 +482,12 @@
 
     fn send(&mut self, now: Time, id: RequestId, member: MemberId, actions: &mut Vec<Action>) {
         let Some((open, m)) = self.open.get(&id).zip(self.members.get(&member)) else { return };
-        let (required, usual) = (self.required_position(now, open), self.usual_rate(now));
         let class = &self.settings.classes[open.class];
+        let proven = match class.need {
+            Need::Session => open.token.and_then(LastCommit::proven_position),
+            _ => self.required_position(now, open),
+        };
+        let usual = self.usual_rate(now);
         let latency = self.latencies[open.class];
         let attempt_timeout =
             latency.upper_bound(ATTEMPT_TIMEOUT_DEVIATIONS).max(class.aim.times(MIN_ATTEMPT_TIMEOUT));
@@ -504,7 +508,7 @@
         open.attempts.push(Attempt { member: member.clone(), pending: true, errored: false });
         m.in_flight.insert(
             (id, attempt),
-            InFlight { sent_at: now, class: open.class, session: open.session, required },
+            InFlight { sent_at: now, class: open.class, session: open.session, proven },
         );
         m.cold.record_send(now, usual, &self.settings);
         actions.push(Action::Send { request: id, member, timeout: timeout.min(remaining) });
@@ -752,7 +756,7 @@
         match self.settings.classes[open.class].need {
             Need::Any | Need::Write => None,
             Need::Bounded(bound) => Some(now - bound),
-            Need::Session => open.token,
+            Need::Session => open.token.map(LastCommit::required_position),
             Need::Fresh => Some(open.arrived),
         }
     }
@@ -867,9 +871,9 @@
                 m.write_refusals = 0;
                 m.ejected_until = NEVER;
                 m.latest_answered_send = m.latest_answered_send.max(now - took);
-                let met =
-                    sent.and_then(|sent| sent.required).filter(|_| self.settings.checks == Checks::Refuse);
-                m.position = m.position.max(met.map_or(NEVER, |required| required.min(now)));
+                let proven =
+                    sent.and_then(|sent| sent.proven).filter(|_| self.settings.checks == Checks::Refuse);
+                m.position = m.position.max(proven.map_or(NEVER, |position| position.min(now)));
             }
             // A member that answered other requests meanwhile is overloaded, not dead. Ejecting for that would
             // eject every member of an overloaded group.
@@ -903,7 +907,7 @@
             }
             Verdict::Miss => {
                 m.lag_refusal =
-                    sent.and_then(|sent| sent.required).map(|required| (required, now)).or(m.lag_refusal);
+                    sent.and_then(|sent| sent.proven).map(|refused| (refused, now)).or(m.lag_refusal);
                 if sent.is_some_and(|sent| self.settings.classes[sent.class].need == Need::Write) {
                     m.seen_replica_at = m.seen_replica_at.max(now - took);
                 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::handover::{HeldRequest, PrimaryTracker};
 use crate::interface::*;
+use crate::sessions::LastCommit;
 use crate::slow_start::SlowStart;
 use crate::slowness::Slowness;
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,8 +19,8 @@
     pub(crate) sent_at: Time,
     pub(crate) class: usize,
     pub(crate) session: Option<SessionKey>,
-    /// The log position that its answer requires.
-    pub(crate) required: Option<Time>,
+    /// The log position that its member, if it checks its reads, has applied once it answers.
+    pub(crate) proven: Option<Time>,
 }
 
 /// A member of the list, with what is known of its role, position and health.
@@ -133,7 +134,7 @@
     pub(crate) group: GroupId,
     pub(crate) session: Option<SessionKey>,
     /// The commit that a session read must see.
-    pub(crate) token: Option<Time>,
+    pub(crate) token: Option<LastCommit>,
     /// The client marked it as a retry.
     pub(crate) retry: bool,
     pub(crate) arrived: Time,
