The run-time check times the first bytes of a large answer, not its last

Change: Invariants::large_answer_begun records when the first bytes are passed on; request_answered goes by that time. A first byte that is late still counts. Small answers are timed by their last byte as before.

--- a/crates/core/tests/guard.rs
+++ b/crates/core/tests/guard.rs
@@ -138,3 +138,17 @@
     assert_eq!(violations(check.serving_started(at(30), false)), [Violation::StartedEarly]);
     assert!(check.serving_started(at(30), true).is_empty());
 }
+
+/// Guards against false alarms: of a value that is passed on for seconds, only the first bytes have to be in time.
+#[test]
+fn the_first_bytes_of_a_large_answer_are_timed_and_not_its_last() {
+    for (begun, late) in [(1_500, false), (1_501, true)] {
+        let mut check = open(Effect::Safe);
+        assert_eq!(begin_attempt(&mut check, 0, 0, 1_000), []);
+        check.attempt_ended(ID, AttemptNo(0), Verdict::Ok);
+        check.large_answer_begun(at(begun), ID);
+        let records = check.request_answered(at(9_000), ID, Answer::Served);
+        assert_eq!(records.iter().any(|record| record.violation == Violation::LateAnswer), late, "{begun}");
+        assert!(check.request_closed(at(9_000), ID).is_empty());
+    }
+}
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -300,6 +300,14 @@
         self.request
     }
 
+    /// The first bytes of a large answer are written now.
+    pub fn begun(&self) {
+        self.driver.check(|now, invariants| {
+            invariants.large_answer_begun(now, self.request);
+            Vec::new()
+        });
+    }
+
     /// The last byte of the answer was written.
     pub fn answered(&self, how: Answer) {
         self.driver.check(|now, invariants| invariants.request_answered(now, self.request, how));
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -577,6 +577,9 @@
         if how.is_some() && self.drops_answer() {
             return Ok(false);
         }
+        if matches!(&answer, FinalAnswer::Served(reply) if reply.is_large()) {
+            pending_answer.begun();
+        }
         let in_progress = self.context.lifecycle.begin_answer();
         let written = self.answer(answer, out).await;
         drop(in_progress);
