A terminating process passes on values to their end, beyond its schedule if need be

Cause: run_stages (net/signals.rs) raised "terminated" at ShutdownSchedule::exit whatever was still being written, and the exit closes all connections. The stage before it answers open requests; one whose value is being passed on counts as answered, so that it had no part in the schedule.

Ruled out: a close as idle or by the pool (no connection was closed before the exit, bytes came up to it), the limits of silent servers and stuck clients (10 s and 30 s).

Why it works: the exit was the only end of these answers that this process caused; each still ends by its own limits, and SIGKILL comes when the platform sends it. What clients have sent behind such a value is refused as before. A fixed bound (the earliest SIGKILL) was not taken: what SIGKILL finds of an earlier request is not lost by the pooler, what its own exit cuts off is.

--- a/crates/core/src/hot_restart.rs
+++ b/crates/core/src/hot_restart.rs
@@ -49,7 +49,7 @@
     pub stop_accepting: Span,
     /// When open requests get a final answer.
     pub answer_open: Span,
-    /// When the process exits, even if connections are left.
+    /// When the process exits, even if connections are left, unless answers are still being written.
     pub exit: Span,
 }
 
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -359,6 +359,28 @@
     }
 }
 
+/// Makes one call of the operators' API, given as method and path; returns its status code.
+pub fn call(address: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+    stream
+        .write_all(format!("{request} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n").as_bytes())
+        .unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer.split(' ').nth(1).unwrap_or("").to_owned()
+}
+
+/// The beginning of an answer with one row of `size` bytes: everything before its value.
+pub fn row_head(size: usize) -> Vec<u8> {
+    let column: &[u8] = b"T\0\0\0\x20\0\x01content\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01";
+    let size = u32::try_from(size).unwrap();
+    [column, b"D", &(size + 10).to_be_bytes(), b"\0\x01", &size.to_be_bytes()].concat()
+}
+
+/// The end of such an answer: everything behind its value.
+pub const ROW_TAIL: &[u8] = b"C\0\0\0\x0dSELECT 1\0S\0\0\0\x11part\0replica\0Z\0\0\0\x05I";
+
 /// The request ids of the statements that the server was sent.
 pub fn ids_at(server: &Server) -> Vec<String> {
     let id = |sent: &String| sent.split_once("id=").unwrap().1.split_once(',').unwrap().0.to_owned();
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -392,18 +392,14 @@
             conn.send_row(b"small", "replica", REPORTED_POSITION);
             return true;
         }
-        let column: &[u8] = b"T\0\0\0\x20\0\x01content\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01";
-        let size = u32::try_from(SIZE).unwrap();
-        let head =
-            [column, b"D", &(size + 10).to_be_bytes(), b"\0\x01", &size.to_be_bytes(), b"first"].concat();
-        for byte in head {
+        for byte in [row_head(SIZE), b"first".to_vec()].concat() {
             conn.send_bytes(&[byte]);
         }
         let complete = continued.lock().unwrap().recv().unwrap();
         let rest = vec![0x5A; if complete { SIZE - 5 } else { SIZE / 2 }];
         conn.send_bytes(&rest);
         if complete {
-            conn.send_bytes(b"C\0\0\0\x0dSELECT 1\0S\0\0\0\x11part\0replica\0Z\0\0\0\x05I");
+            conn.send_bytes(ROW_TAIL);
         }
         complete
     });
@@ -821,18 +817,6 @@
     );
 }
 
-/// Makes one call of the operators' API, given as method and path; returns its status code.
-fn call(address: std::net::SocketAddr, request: &str) -> String {
-    let mut stream = TcpStream::connect(address).unwrap();
-    stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
-    stream
-        .write_all(format!("{request} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n").as_bytes())
-        .unwrap();
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).unwrap();
-    answer.split(' ').nth(1).unwrap_or("").to_owned()
-}
-
 #[test]
 fn operator_calls_drain_a_server_and_the_pooler_despite_stalled_connections() {
     let (one, two) = (id_server("s-1", "replica"), id_server("s-2", "replica"));
--- a/crates/net/src/lifecycle.rs
+++ b/crates/net/src/lifecycle.rs
@@ -18,7 +18,7 @@
     pub accept_paused: Switch,
     /// Open requests are answered at once.
     pub terminating: Flag,
-    /// The process may exit.
+    /// The process exits, which closes all connections: no answer is being written any more.
     pub terminated: Flag,
     /// Whether an operator has drained the pooler and not resumed it.
     pub drained_by_operator: Cell<bool>,
--- a/crates/net/src/signals.rs
+++ b/crates/net/src/signals.rs
@@ -7,6 +7,7 @@
 use crate::counters::{Counters, StatusLog};
 use crate::discovery::Source;
 use crate::driver::Driver;
+use crate::flag::Flag;
 use crate::hot_restart::SharedState;
 use crate::lifecycle::Lifecycle;
 use crate::mutants::{self, Mutant};
@@ -228,22 +229,44 @@
             None => lifecycle.closing_idle.raise(),
         }
     }
-    let mut latest = duration(schedule.answer_open);
-    for (stage, what) in
-        [(&lifecycle.terminating, "open requests are answered"), (&lifecycle.terminated, "the process exits")]
-    {
-        while handler.slots.in_use() > 0 && started.elapsed() < latest {
-            Timer::after(POLL_INTERVAL).await;
+    while handler.slots.in_use() > 0 && started.elapsed() < duration(schedule.answer_open) {
+        Timer::after(POLL_INTERVAL).await;
+    }
+    raise_stage(handler, &lifecycle.terminating, "open requests are answered", started);
+    // If the process was stopped past the deadline, the answers still get a minimum of time.
+    let exit = duration(schedule.exit).max(started.elapsed() + MIN_FINAL_ANSWER_TIME);
+    finish_answers(handler, exit, started).await;
+    raise_stage(handler, &lifecycle.terminated, "the process exits", started);
+}
+
+/// Waits until no client is connected, at most until `exit`, and beyond that for as long as answers are being
+/// written: the process never cuts off a value that its server still gives and its client still takes. An answer
+/// that makes no progress ends by its own time limits, as it does at any other time.
+async fn finish_answers(handler: &Handler, exit: Duration, started: Instant) {
+    let (mut latest, mut announced) = (exit, false);
+    while handler.slots.in_use() > 0 {
+        let (elapsed, in_progress) = (started.elapsed(), handler.lifecycle.answers_in_progress());
+        if in_progress > 0 {
+            // A connection is closed in order behind its answer.
+            latest = latest.max(elapsed + MIN_FINAL_ANSWER_TIME);
+        }
+        if elapsed >= latest {
+            return;
+        }
+        if elapsed >= exit && !std::mem::replace(&mut announced, true) {
+            tracing::info!("the process stays beyond its schedule, for {in_progress} answers in progress");
         }
-        stage.raise();
-        tracing::info!(
-            "{what} {} ms after the signal, with {} clients connected and {} answers in progress",
-            started.elapsed().as_millis(),
-            handler.slots.in_use(),
-            lifecycle.answers_in_progress(),
-        );
-        // Open requests are answered now. If the process was stopped past the deadline, the answers still get a
-        // minimum of time.
-        latest = duration(schedule.exit).max(started.elapsed() + MIN_FINAL_ANSWER_TIME);
+        Timer::after(POLL_INTERVAL).await;
     }
 }
+
+/// Raises a flag of the lifecycle and logs what follows from it.
+fn raise_stage(handler: &Handler, stage: &Flag, what: &str, started: Instant) {
+    stage.raise();
+    tracing::info!(
+        "{what} {} ms after the signal, with {} clients connected and {} answers in progress",
+        started.elapsed().as_millis(),
+        handler.slots.in_use(),
+        handler.lifecycle.answers_in_progress(),
+    );
+}
