The end of a large value is not lost when its connection is closed as idle

What callers saw: a client that takes in a large value slowly and sends its next command ahead lost the rest of the value when the pooler closed the connection in between: at SIGTERM, in a drain by hand, to make room, or before a newer process.

Cause: once the last piece is in the system's send buffer (up to 4 MiB) an answer counts as written and its connection as idle; read_more and the end of linger (net/frontend.rs) then close it at once. What the client sends after that resets the closed connection, and the system drops what it has not sent yet.

Change: while a large answer is passed on, the send buffer of its connection is 64 KiB, so that the pooler counts as passing it on for about as long as the client takes it in. For 2 s after it the client is not evicted, and a connection that ends for another reason ends in order: the end of the stream goes out behind the answer, nothing more is read, and the connection is closed once the client has closed it, after 2 s at the latest. Why it works: the connection is open while the bytes are on their way, so that nothing resets it; a command that crosses this was not read, and is sent again on a new connection as the protocol has it. Small answers have arrived by then and are left as they were. Not taken: SIOCOUTQ, which needs unsafe code, and lingering behind every answer, which would hold descriptors.

Test: crates/daemon/tests/large_answers.rs.

--- a/crates/daemon/tests/large_answers.rs
+++ b/crates/daemon/tests/large_answers.rs
@@ -223,3 +223,40 @@
     assert_whole(&mut reader);
     assert!(reader.0.next_message().is_none() && !reader.0.reset, "closed behind the answer");
 }
+
+/// Guards against values whose last bytes are lost in the system's buffers: the connection was closed as idle while
+/// they were on their way, and reset by the next command that the client sent ahead.
+#[test]
+fn a_value_that_was_written_is_received_whole_although_its_connection_is_closed() {
+    for (size, ending) in
+        [(100, "drain"), (1_024, "drain"), (100, "TERM"), (1_024, "TERM"), (100, "eviction")]
+    {
+        let size = size * 1024;
+        let pausing = PausingServer::with_size("s-1", size);
+        let discovery = Discovery::new();
+        let operator: SocketAddr = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let text = short_config(&discovery, &pausing.server).replace("1024", "48");
+        let mut config: serde_json::Value = serde_json::from_str(&text).unwrap();
+        config["operator"] = operator.to_string().into();
+        let pooler = Pooler::with_config(&config.to_string());
+        let mut reader = Client::connect(&pooler);
+        begin_large(&mut reader, "large");
+        pausing.resume.send(()).unwrap();
+        // Once the server has answered a further request on this connection, it has given the value.
+        wait_until(|| Client::connect(&pooler).execute(&menu("1")).value.is_some());
+        let mut idle = Client::connect(&pooler);
+        assert!(idle.execute(&menu("2")).value.is_some());
+        match ending {
+            "drain" => assert_eq!(call(operator, "POST /-/drain"), "200"),
+            "TERM" => pooler.signal("TERM"),
+            _ => evict(&pooler, &mut idle, &menu("3")),
+        }
+        assert!(idle.0.next_message().is_none(), "idle clients are closed");
+        // What was closed in the same turn is closed by the time that this is answered.
+        if ending != "TERM" {
+            pooler.counters();
+        }
+        reader.send(&menu("ahead"));
+        assert_eq!(finish_large(&mut reader, size), (size, "CZ".to_owned()), "{ending}, {size} bytes");
+    }
+}
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -42,6 +42,12 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 /// How long a client may go on sending after it was told that its connection ends; enough for 60 MB.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long after a large answer its last bytes may still be on their way, and how long its connection is then kept
+/// for a client that does not close its side.
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Size of the system's send buffer while a large answer is passed on. It bounds what is still on its way once the
+/// answer has been written.
+const LARGE_ANSWER_SEND_BUFFER: usize = 64 * 1024;
 /// Delay after each command that can't be served: a client that repeats such a command as soon as it is
 /// rejected would otherwise keep other clients waiting.
 const ERROR_DELAY: Duration = Duration::from_millis(50);
@@ -184,9 +190,13 @@
             since: Instant::now(),
             errors: 0,
             close_reason: Cell::new(CloseReason::ClientLeft),
+            large_answer_at: Cell::new(None),
         };
         // An error on one client's connection affects no other: the connection is closed.
         let ended = client.run(has_room).await;
+        if ended.is_ok() {
+            client.deliver_large_answer().await;
+        }
         client.note_close(ended);
     };
     context.executor.spawn(task).detach();
@@ -236,6 +246,8 @@
     errors: u32,
     /// Why the connection ends, as far as known so far.
     close_reason: Cell<CloseReason>,
+    /// When the latest large answer was written.
+    large_answer_at: Cell<Option<Instant>>,
 }
 
 /// The result of parsing a command.
@@ -403,7 +415,10 @@
     /// Reads more bytes. Returns false if the connection ends: the client has closed it, is evicted, took too
     /// long for a command, or the process ends. Readable bytes take precedence over all of that.
     async fn read_more(&mut self) -> Result<bool, ClientError> {
-        let Self { context, stream, buffer, arrivals, slot, stage, since, .. } = self;
+        let Self { context, stream, buffer, arrivals, slot, stage, since, large_answer_at, .. } = self;
+        // A client to which a large answer is still on its way does not count as idle yet.
+        let delivered = large_answer_at.get().map(|at| at + DELIVERY_TIMEOUT);
+        let evictable_since = delivered.map_or(*since, |delivered| delivered.max(*since));
         let between_commands = buffer.data().is_empty() && *stage != Stage::Startup;
         buffer.release_if_empty();
         // The time for a command counts from `since`, also when its first bytes have only just arrived.
@@ -445,7 +460,7 @@
         let ending = or(ending, drained);
         let rank = if *stage == Stage::Known { EvictionRank::Idle } else { EvictionRank::New };
         let outcome: Option<Result<ReadOutcome, ClientError>> =
-            slot.run_evictable(rank, *since, or(read, or(timed_out, ending))).await;
+            slot.run_evictable(rank, evictable_since, or(read, or(timed_out, ending))).await;
         if between_commands && *stage == Stage::Known {
             *since = Instant::now();
         }
@@ -601,6 +616,12 @@
         match answer {
             FinalAnswer::Gone => Ok(false),
             FinalAnswer::Served(mut reply) if reply.is_large() => {
+                let stream = self.stream.get_ref();
+                if let Err(error) =
+                    rustix::net::sockopt::set_socket_send_buffer_size(stream, LARGE_ANSWER_SEND_BUFFER)
+                {
+                    tracing::debug!(target: "clients", "SO_SNDBUF: {error}");
+                }
                 let first_pieces: Vec<&[u8]> = reply.pieces().collect();
                 self.send(&first_pieces).await?;
                 // If the answer can't be completed, the connection ends: the client sees that the answer is
@@ -609,6 +630,7 @@
                     self.send(&[&piece]).await?;
                     yield_now().await;
                 }
+                self.large_answer_at.set(Some(Instant::now()));
                 write::ready_for_query(out);
                 self.finish(&[out]).await
             }
@@ -674,10 +696,36 @@
         }
         self.send(pieces).await?;
         stream.shutdown(Shutdown::Write)?;
-        self.linger().await;
+        if !self.is_delivering() {
+            self.linger().await;
+        }
         Ok(())
     }
 
+    /// Whether a large answer may still be on its way to the client.
+    fn is_delivering(&self) -> bool {
+        self.large_answer_at.get().is_some_and(|at| at.elapsed() < DELIVERY_TIMEOUT)
+    }
+
+    /// Ends the stream behind a large answer that may still be on its way, and waits until the client has closed its
+    /// side as well. If the connection were closed before, a command that the client sends meanwhile would reset it,
+    /// and the rest of the answer would be lost. Such a command is not read: the client sends it again, on a new
+    /// connection.
+    async fn deliver_large_answer(&self) {
+        let closes = self.close_reason.get();
+        if !self.is_delivering() || closes.is_client_disconnect() || closes == CloseReason::MadeRoom {
+            return;
+        }
+        let _in_progress = self.context.lifecycle.begin_answer();
+        if self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let until = Instant::now() + DELIVERY_TIMEOUT;
+        while !peer_closed(&self.stream) && Instant::now() < until {
+            Timer::after(HANGUP_POLL_INTERVAL).await;
+        }
+    }
+
     /// Discards what the client still sends, until it has closed its side as well or [`LINGER_TIMEOUT`] has passed.
     async fn linger(&self) {
         let discarded = async {
