--- a/crates/daemon/tests/large_answers.rs
+++ b/crates/daemon/tests/large_answers.rs
@@ -235,8 +235,9 @@
         let pausing = PausingServer::with_size("s-1", size);
         let discovery = Discovery::new();
         let operator: SocketAddr = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-        let text = short_config(&discovery, &pausing.server).replace("1024", "48");
+        let text = short_config(&discovery, &pausing.server);
         let mut config: serde_json::Value = serde_json::from_str(&text).unwrap();
+        config["limits"]["sockets"] = 48.into();
         config["operator"] = operator.to_string().into();
         let pooler = Pooler::with_config(&config.to_string());
         let mut reader = Client::connect(&pooler);
--- a/crates/net/src/frontend.rs
+++ b/crates/net/src/frontend.rs
@@ -45,8 +45,8 @@
 /// How long after a large answer its last bytes may still be on their way, and how long its connection is then kept
 /// for a client that does not close its side.
 const DELIVERY_TIMEOUT: Duration = Duration::from_secs(2);
-/// Size of the system's send buffer while a large answer is passed on. It bounds what is still on its way once the
-/// answer has been written.
+/// Size of the system's send buffer of a connection from its first large answer on. It bounds what is still on its way
+/// once an answer has been written.
 const LARGE_ANSWER_SEND_BUFFER: usize = 64 * 1024;
 /// Delay after each command that can't be served: a client that repeats such a command as soon as it is
 /// rejected would otherwise keep other clients waiting.
