--- a/review/common-2.rs
+++ b/review/common-2.rs
@@ -484,6 +484,8 @@
     Up,
     /// Watches have ended, and each call ends in 503.
     Down,
+    /// Watches stay open and bring nothing, and no call is answered, until it is back.
+    Silent,
 }
 
 struct DiscoveryState {
@@ -493,6 +495,8 @@
     service: Service,
     /// Watches that are open now.
     watches: usize,
+    /// How long a call takes before its answer begins.
+    delay: Duration,
 }
 
 /// Discovery as the protocol page has it: whole lists, and watches with changes and an empty line every 2 s.
@@ -519,7 +523,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let entries = entries.iter().map(|(id, entry)| ((*id).to_owned(), (41, entry.clone()))).collect();
-        let state = DiscoveryState { generation: 41, entries, service: Service::Up, watches: 0 };
+        let state = DiscoveryState { generation: 41, entries, service: Service::Up, watches: 0, delay: Duration::ZERO };
         let state = Arc::new((Mutex::new(state), Condvar::new()));
         let shared = state.clone();
         std::thread::spawn(move || {
@@ -554,6 +558,12 @@
         self.state.1.notify_all();
     }
 
+    /// From now on each call takes so long before its answer begins.
+    pub fn set_delay(&self, delay: Duration) {
+        note(format!("discovery takes {delay:?} for each call"));
+        self.state.0.lock().unwrap().delay = delay;
+    }
+
     pub fn watches(&self) -> usize {
         self.state.0.lock().unwrap().watches
     }
@@ -573,7 +583,23 @@
     }
     let line = String::from_utf8_lossy(&head).lines().next().unwrap_or("").to_owned();
     let (state, changed) = shared;
+    let delay = state.lock().unwrap().delay;
+    if !delay.is_zero() {
+        note(format!("discovery: {line}: called"));
+        // Who has closed its connection meanwhile gets no answer.
+        stream.set_read_timeout(Some(delay))?;
+        if matches!(stream.peek(&mut [0]), Ok(0)) {
+            note("discovery: the caller has closed its connection without waiting for the answer");
+            return Ok(());
+        }
+    }
     let mut held = state.lock().unwrap();
+    if held.service == Service::Silent {
+        note(format!("discovery: {line}: silence"));
+        while held.service == Service::Silent {
+            held = changed.wait(held).unwrap();
+        }
+    }
     if held.service == Service::Down {
         note(format!("discovery: {line}: 503"));
         drop(held);
@@ -604,6 +630,9 @@
     stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")?;
     let (mut told, mut first) = (since, true);
     loop {
+        while held.service == Service::Silent {
+            held = changed.wait(held).unwrap();
+        }
         if held.service == Service::Down {
             return Ok(());
         }
