--- a/review/common-2.rs
+++ b/review/common-2.rs
@@ -326,7 +326,7 @@
     }
 }
 
-fn serve(mut wire: Wire, handle: &Handler, report: &Report) -> io::Result<()> {
+fn serve(mut wire: Wire, handle: &dyn Fn(&Statement) -> Reply, report: &dyn Fn() -> String) -> io::Result<()> {
     if !wire.startup()? {
         return Ok(());
     }
@@ -372,6 +372,265 @@
     Ok(())
 }
 
+// ---- Groups of servers with a log
+
+/// What a replica is behind the primary by, in ms.
+pub const LAG_MS: u64 = 10;
+/// How many seconds of the log a server that has to catch up applies in a second: its thread is busy for 57% of the time
+/// at the usual load (`apply_use`).
+pub const APPLY_RATE: f64 = 1.75;
+
+struct Place {
+    primary: bool,
+    draining: bool,
+    /// Where a process began that started from a copy, and when it started.
+    copy: Option<(u64, u64)>,
+    /// Whether a process listens there.
+    up: bool,
+    /// The group that the process belongs to.
+    group: u32,
+    /// Counts the processes at this address.
+    life: u64,
+    connections: Vec<TcpStream>,
+    received: u64,
+}
+
+impl Place {
+    /// The position up to which the process at this address has applied the log, in Unix ms.
+    fn applied(&self) -> u64 {
+        let now = unix_ms();
+        match self.copy {
+            _ if self.primary => now,
+            Some((copy, started)) => (copy + ((now - started) as f64 * APPLY_RATE) as u64).min(now - LAG_MS),
+            None => now - LAG_MS,
+        }
+    }
+}
+
+/// The server processes at one address, one after the other. A value tells the position that it was read at.
+#[derive(Clone)]
+pub struct Host {
+    pub address: SocketAddr,
+    place: Arc<Mutex<Place>>,
+}
+
+impl Host {
+    /// A server that checks nothing: a read is answered from the data that it has.
+    pub fn start(primary: bool) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let connections = Vec::new();
+        let place = Place { primary, draining: false, copy: None, up: true, group: 0, life: 0, connections, received: 0 };
+        let host = Self { address, place: Arc::new(Mutex::new(place)) };
+        let shared = host.clone();
+        std::thread::spawn(move || {
+            let mut listener = Some(listener);
+            loop {
+                let up = shared.place.lock().unwrap().up;
+                if !up {
+                    // Without a listener the system refuses connections.
+                    listener = None;
+                } else if listener.is_none() {
+                    listener = TcpListener::bind(address).ok();
+                }
+                let accepted = listener.as_ref().filter(|listener| listener.set_nonblocking(true).is_ok());
+                match accepted.map(TcpListener::accept) {
+                    Some(Ok((stream, _))) => shared.take(stream),
+                    _ => std::thread::sleep(Duration::from_millis(1)),
+                }
+            }
+        });
+        host
+    }
+
+    fn take(&self, stream: TcpStream) {
+        let _ = stream.set_nonblocking(false);
+        let mut place = self.place.lock().unwrap();
+        let life = place.life;
+        if let Ok(stream) = stream.try_clone() {
+            place.connections.push(stream);
+        }
+        drop(place);
+        let host = self.clone();
+        std::thread::spawn(move || drop(host.serve_life(life, stream)));
+    }
+
+    fn serve_life(&self, life: u64, stream: TcpStream) -> io::Result<()> {
+        let handle = |statement: &Statement| {
+            let mut place = self.place.lock().unwrap();
+            let (primary, position) = (place.primary, place.applied());
+            if place.draining {
+                return Reply::Error("53300", primary, position);
+            }
+            place.received += 1;
+            let group = place.group;
+            drop(place);
+            sleep_ms(15);
+            if group != 0 {
+                // A server of another group answers from what its own group has under that name.
+                return Reply::Row(format!("of group {group}"), primary, position);
+            }
+            match (statement.write, primary) {
+                (true, false) => Reply::Error("25006", primary, position),
+                (true, true) => {
+                    let commit = unix_ms() + 1;
+                    Reply::Row(commit.to_string(), primary, commit)
+                }
+                (false, _) => Reply::Row(position.to_string(), primary, position),
+            }
+        };
+        let report = || {
+            let place = self.place.lock().unwrap();
+            format!("x0={:.3},x1={}", place.applied() as f64 / 1_000.0, u8::from(place.primary))
+        };
+        // A connection that was accepted as the process ended belongs to the one before.
+        if self.place.lock().unwrap().life != life {
+            return Ok(());
+        }
+        serve(Wire::new(stream), &handle, &report)
+    }
+
+    /// From now on the process completes what it has, and turns away what is new.
+    pub fn drain(&self) {
+        self.place.lock().unwrap().draining = true;
+    }
+
+    /// The process ends, and another server starts at the same address, from a copy of this age.
+    pub fn replace(&self, copy_age_ms: u64) {
+        self.end();
+        let mut place = self.place.lock().unwrap();
+        place.copy = Some((unix_ms() - copy_age_ms, unix_ms()));
+        place.up = true;
+    }
+
+    /// The process ends: its connections end, and new ones are refused.
+    pub fn end(&self) {
+        let mut place = self.place.lock().unwrap();
+        place.life += 1;
+        (place.up, place.draining, place.received) = (false, false, 0);
+        for connection in place.connections.drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// A server of another group starts at this address, some time after the process before has ended.
+    pub fn start_of_group(&self, group: u32) {
+        let mut place = self.place.lock().unwrap();
+        (place.up, place.group, place.primary) = (true, group, false);
+    }
+
+    /// The requests that the present process has got, and the position that it has applied.
+    pub fn state(&self) -> (u64, u64) {
+        let place = self.place.lock().unwrap();
+        (place.received, place.applied())
+    }
+}
+
+/// What a run of sessions has seen.
+#[derive(Default)]
+pub struct Seen {
+    pub writes: usize,
+    pub reads: usize,
+    pub not_served: usize,
+    pub stale: Vec<String>,
+}
+
+/// A session that writes, and then reads its own write again and again, one request at a time, until `stop`. A read is
+/// judged by the latest write that was answered at least 150 ms before it was sent.
+pub fn run_session(
+    listen: SocketAddr,
+    number: usize,
+    stop: &std::sync::atomic::AtomicBool,
+    seen: &Mutex<Seen>,
+) {
+    let key = format!("session-{number}");
+    let mut client = None;
+    std::thread::sleep(Duration::from_millis(number as u64 * 97 % 3_000));
+    while !stop.load(Ordering::SeqCst) {
+        let mut commit = None;
+        for step in 0..9 {
+            if client.is_none() {
+                client = Client::connect(listen).ok();
+            }
+            let Some(connection) = client.as_mut() else { continue };
+            let write = step == 0;
+            let (class, timeout) = if write { ("write", 5_000) } else { ("own-read", 1_000) };
+            let (id, statement) = request(class, write, &key, timeout, "");
+            let sent = now_ms();
+            let answer = connection.execute(&statement);
+            let mut seen = seen.lock().unwrap();
+            match &answer {
+                Answer::Served(value) if write => {
+                    commit = value.parse::<u64>().ok();
+                    seen.writes += 1;
+                }
+                Answer::Served(value) => {
+                    seen.reads += 1;
+                    let position = value.parse::<u64>().unwrap_or(0);
+                    if let Some(commit) = commit.filter(|commit| position < *commit) {
+                        let stale = format!(
+                            "{sent} ms: {key} read ({id}) data as of {} ms before its own write, which had been answered",
+                            commit - position
+                        );
+                        note(&stale);
+                        seen.stale.push(stale);
+                    }
+                }
+                Answer::Error(_) => seen.not_served += 1,
+                Answer::Closed => {
+                    seen.not_served += 1;
+                    client = None;
+                }
+            }
+            drop(seen);
+            std::thread::sleep(Duration::from_millis(300 + (number as u64 * 31 + step) % 200));
+        }
+    }
+}
+
+/// Reads of group 0 that any member may answer, until `stop`; counts the values, the other answers, and those values that
+/// come from a server of another group.
+pub fn run_reads(
+    listen: SocketAddr,
+    class: &str,
+    timeout_ms: u64,
+    number: usize,
+    stop: &std::sync::atomic::AtomicBool,
+    seen: &Mutex<Seen>,
+) {
+    let mut client = None;
+    while !stop.load(Ordering::SeqCst) {
+        if client.is_none() {
+            client = Client::connect(listen).ok();
+        }
+        let Some(connection) = client.as_mut() else {
+            sleep_ms(10);
+            continue;
+        };
+        let (id, statement) = request(class, false, &format!("name-{number}"), timeout_ms, "");
+        let sent = now_ms();
+        let answer = connection.execute(&statement);
+        let mut seen = seen.lock().unwrap();
+        match &answer {
+            Answer::Served(value) => {
+                seen.reads += 1;
+                if value.starts_with("of group") {
+                    let foreign = format!("{sent} ms: client {number} asked group 0 ({id}) and was served a value {value}");
+                    note(&foreign);
+                    seen.stale.push(foreign);
+                }
+            }
+            Answer::Error(_) => seen.not_served += 1,
+            Answer::Closed => {
+                seen.not_served += 1;
+                client = None;
+            }
+        }
+        drop(seen);
+        sleep_ms(70);
+    }
+}
+
 // ---- Clients
 
 pub struct Client {
@@ -505,11 +764,16 @@
     state: Arc<(Mutex<DiscoveryState>, Condvar)>,
 }
 
-/// An entry of a list.
+/// An entry of a list, of group 0.
 pub fn entry(id: &str, address: SocketAddr, lifecycle: &str, started_at_ms: u64, part: Option<&str>) -> String {
+    entry_of(0, id, address, lifecycle, started_at_ms, part)
+}
+
+/// An entry of a list.
+pub fn entry_of(group: u32, id: &str, address: SocketAddr, lifecycle: &str, started_at_ms: u64, part: Option<&str>) -> String {
     let part = part.map_or(String::new(), |part| format!(",\"part\":\"{part}\""));
     format!(
-        "{{\"instanceId\":\"{id}\",\"hostPort\":\"{address}\",\"zone\":\"a\",\"machineType\":\"m\",\"cell\":0,\
+        "{{\"instanceId\":\"{id}\",\"hostPort\":\"{address}\",\"zone\":\"a\",\"machineType\":\"m\",\"cell\":{group},\
          \"lifecycle\":\"{lifecycle}\",\"weight\":1.0,\"startedAtMs\":{started_at_ms}{part}}}"
     )
 }
