--- a/review/common-2.rs
+++ b/review/common-2.rs
@@ -157,6 +157,11 @@
         }
         let child = command.spawn().expect("the pooler starts");
         PROCESSES.lock().unwrap().push(child.id());
+        // For run.sh, which ends them if it is ended itself.
+        if let Ok(path) = std::env::var("REVIEW_PIDS") {
+            let file = std::fs::File::options().create(true).append(true).open(path);
+            let _ = file.and_then(|mut file| writeln!(file, "{}", child.id()));
+        }
         note(format!("{name} started"));
         Self { child, name: name.to_owned() }
     }
@@ -393,6 +398,8 @@
     life: u64,
     connections: Vec<TcpStream>,
     received: u64,
+    /// When the process got requests of another group than its own, in ms since the case began, with their ids.
+    strange: Vec<(u64, String)>,
 }
 
 impl Place {
@@ -420,7 +427,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let connections = Vec::new();
-        let place = Place { primary, draining: false, copy: None, up: true, group: 0, life: 0, connections, received: 0 };
+        let place = Place { primary, draining: false, copy: None, up: true, group: 0, life: 0, connections, received: 0, strange: Vec::new() };
         let host = Self { address, place: Arc::new(Mutex::new(place)) };
         let shared = host.clone();
         std::thread::spawn(move || {
@@ -464,6 +471,9 @@
             }
             place.received += 1;
             let group = place.group;
+            if group != 0 {
+                place.strange.push((statement.at_ms, statement.id.clone()));
+            }
             drop(place);
             sleep_ms(15);
             if group != 0 {
@@ -519,6 +529,11 @@
         (place.up, place.group, place.primary) = (true, group, false);
     }
 
+    /// The requests of group 0 that a server of another group got here, with the time of each.
+    pub fn strange(&self) -> Vec<(u64, String)> {
+        self.place.lock().unwrap().strange.clone()
+    }
+
     /// The requests that the present process has got, and the position that it has applied.
     pub fn state(&self) -> (u64, u64) {
         let place = self.place.lock().unwrap();
